--- /dev/null
+++ b/bench/plantainstand_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiment tool, and benchmarks."""
--- /dev/null
+++ b/libraries/consensus/plantainstand_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log with a core state machine that does no I/O."""
--- /dev/null
+++ b/libraries/core/plantainstand_core/__init__.py
@@ -0,0 +1,55 @@
+"""Ids, clock interface and settings loading shared by the libraries."""
+
+from plantainstand_core._clock import Clock, ManualClock, SystemClock
+from plantainstand_core._ids import (
+    AvailabilityZoneId,
+    DiskId,
+    EntryId,
+    Incarnation,
+    LogIndex,
+    OperationId,
+    OwnerId,
+    RegionId,
+    RequestId,
+    RequestOutcome,
+    ResourceId,
+    Revision,
+    ServiceId,
+    TargetId,
+    Term,
+    TrafficClass,
+    VmId,
+)
+from plantainstand_core._settings import (
+    SettingsProblem,
+    convert_settings,
+    load_settings,
+    parse_settings,
+)
+
+__all__ = (
+    'AvailabilityZoneId',
+    'Clock',
+    'DiskId',
+    'EntryId',
+    'Incarnation',
+    'LogIndex',
+    'ManualClock',
+    'OperationId',
+    'OwnerId',
+    'RegionId',
+    'RequestId',
+    'RequestOutcome',
+    'ResourceId',
+    'Revision',
+    'ServiceId',
+    'SettingsProblem',
+    'SystemClock',
+    'TargetId',
+    'Term',
+    'TrafficClass',
+    'VmId',
+    'convert_settings',
+    'load_settings',
+    'parse_settings',
+)
--- /dev/null
+++ b/libraries/core/plantainstand_core/_ids.py
@@ -0,0 +1,42 @@
+"""Ids and small enumerations shared by every library."""
+
+from enum import Enum
+from typing import NewType
+
+VmId = NewType('VmId', str)
+AvailabilityZoneId = NewType('AvailabilityZoneId', str)
+RegionId = NewType('RegionId', str)
+ServiceId = NewType('ServiceId', str)
+TargetId = NewType('TargetId', str)
+OwnerId = NewType('OwnerId', str)
+EntryId = NewType('EntryId', str)
+RequestId = NewType('RequestId', str)
+OperationId = NewType('OperationId', str)
+DiskId = NewType('DiskId', str)
+ResourceId = NewType('ResourceId', str)
+
+Term = NewType('Term', int)
+LogIndex = NewType('LogIndex', int)
+Revision = NewType('Revision', int)
+Incarnation = NewType('Incarnation', int)
+
+
+class TrafficClass(Enum):
+    """Priority class of a service; members are in order of priority."""
+
+    CRITICAL = 'critical'
+    NORMAL = 'normal'
+    BACKGROUND = 'background'
+
+
+class RequestOutcome(Enum):
+    """What a caller is told about a request."""
+
+    ANSWERED = 'answered'
+    """The target's whole answer follows."""
+
+    NOT_RUN = 'not-run'
+    """The request did not run and never will."""
+
+    UNKNOWN = 'unknown'
+    """The request may have run; the caller can ask again."""
--- /dev/null
+++ b/libraries/ctl/plantainstand_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The plantainstandctl command-line tool for operators."""
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The plantainstandd daemon."""
--- /dev/null
+++ b/libraries/membership/plantainstand_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Load summaries, exchange peers, the platform list and entry VM answers."""
--- /dev/null
+++ b/libraries/protocol/plantainstand_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC code and the channel pool between plantainstand processes."""
--- /dev/null
+++ b/libraries/records/plantainstand_records/__init__.py
@@ -0,0 +1,1 @@
+"""Request records that decide non-idempotent requests at most once."""
--- /dev/null
+++ b/libraries/shares/plantainstand_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of limited resources, split among entry VMs."""
--- /dev/null
+++ b/libraries/steering/plantainstand_steering/__init__.py
@@ -0,0 +1,1 @@
+"""Target choice, admission queue, retry budget, hedging and target health."""
--- /dev/null
+++ b/libraries/storage/plantainstand_storage/__init__.py
@@ -0,0 +1,1 @@
+"""Checksummed journal, snapshots and value files."""
--- /dev/null
+++ b/libraries/telemetry/plantainstand_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces of the plantainstand processes."""
