--- a/libraries/core/plantainstand_core/_clock.py
+++ b/libraries/core/plantainstand_core/_clock.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
-_MANUAL_START = datetime(2026, 1, 1, tzinfo=UTC)
+_MANUAL_START = datetime.fromisoformat('2026-01-01T00:00:00+00:00')
 # A reading above zero shows code that confuses "never" with zero.
 _MANUAL_MONOTONIC = timedelta(hours=1)
 
