--- a/libraries/protocol/plantainstand_protocol/__init__.py
+++ b/libraries/protocol/plantainstand_protocol/__init__.py
@@ -1,1 +1,19 @@
-"""Generated gRPC code and the channel pool between plantainstand processes."""
+"""Generated gRPC code and the channel pool between processes.
+
+The generated modules are :mod:`plantainstand_protocol.steering_pb2` and
+:mod:`plantainstand_protocol.steering_grpc`.
+"""
+
+from plantainstand_protocol._channels import (
+    CallFailure,
+    CallProblem,
+    ChannelPool,
+    Endpoint,
+)
+
+__all__ = (
+    'CallFailure',
+    'CallProblem',
+    'ChannelPool',
+    'Endpoint',
+)
