--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_dispatch.py
@@ -0,0 +1,303 @@
+"""Dispatch of one attempt to a target over HTTP, on a worker thread."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from http import HTTPStatus
+
+import urllib3
+from plantainstand_core import RequestOutcome, TargetId
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from plantainstand_daemon._messages import Answer, SteeredRequest
+
+REQUEST_ID_HEADER = 'Request-Id'
+DEADLINE_HEADER = 'Request-Deadline-Ms'
+OUTCOME_HEADER = 'Request-Outcome'
+
+_CONNECT_TIMEOUT_S = 0.5
+_CANCEL_TIMEOUT_S = 1.0
+# The target's own deadline ends first, so that its refusal or its answer
+# arrives before this side stops reading.
+_READ_MARGIN_S = 0.2
+# A connection that was idle for longer may have been forgotten by something
+# between the two ends without either noticing.
+_MAX_IDLE_S = 15.0
+_READ_CHUNK_BYTES = 65536
+_MILLISECOND = timedelta(milliseconds=1)
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+class AttemptResult(Enum):
+    """What one attempt at a target came to."""
+
+    ANSWERED = 'answered'
+    DID_NOT_RUN = 'did-not-run'
+    UNKNOWN = 'unknown'
+
+
+class WorkState(Enum):
+    """Whether a target may still be working on an attempt."""
+
+    ENDED = 'ended'
+    MAY_CONTINUE = 'may-continue'
+
+
+@dataclass(frozen=True)
+class AttemptReport:
+    """Outcome of one attempt."""
+
+    outcome: AttemptResult
+    work: WorkState
+    answer: Answer | None = None
+    reason: str = ''
+
+
+@dataclass(frozen=True)
+class TargetAddress:
+    """Where a target is reached."""
+
+    target: TargetId
+    host: str
+    port: int
+    max_connections: int
+
+
+class _Connection(HTTPConnection):
+    """Connection that counts as dropped after a long idle time."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)  # type: ignore[arg-type]
+        self._last_used_s = time.monotonic()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the pool may use the connection again."""
+        idle_s = time.monotonic() - self._last_used_s
+        return idle_s <= _MAX_IDLE_S and super().is_connected
+
+    def request(self, *args: object, **kwargs: object) -> None:
+        """Send a request and note the time of use."""
+        self._last_used_s = time.monotonic()
+        super().request(*args, **kwargs)  # type: ignore[arg-type]
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection  # noqa: WPS115
+
+
+class TargetClient:
+    """HTTP client for targets; thread-safe."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._pools: dict[TargetAddress, _Pool] = {}
+
+    def close(self) -> None:
+        """Close the pooled connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools = {}
+
+    def send(
+        self,
+        address: TargetAddress,
+        request: SteeredRequest,
+        time_left: timedelta,
+        limits: tuple[int, bool],
+    ) -> AttemptReport:
+        """Make one attempt; blocks until its end or its deadline.
+
+        ``limits`` holds the largest response body in bytes and whether a
+        connection in use before may carry the attempt. A silent connection
+        would leave a non-idempotent request with an unknown outcome, so that
+        one gets a new connection.
+        """
+        response_bytes, may_reuse = limits
+        pool = self._pool(address) if may_reuse else _new_pool(address)
+        try:
+            response = pool.urlopen(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=_target_headers(request, time_left),
+                timeout=_timeout(time_left),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as problem:
+            return AttemptReport(
+                AttemptResult.DID_NOT_RUN,
+                WorkState.ENDED,
+                reason=f'no connection to {address.target}: {problem}',
+            )
+        except (HTTPError, OSError) as problem:
+            return _unknown(f'{address.target}: {problem!r}')
+        report = _read_report(response, request, address, response_bytes)
+        if not may_reuse:
+            pool.close()
+        return report
+
+    def cancel(self, address: TargetAddress, request_id: str) -> str:
+        """Ask the target to cancel; return the state it names, or nothing."""
+        try:
+            response = _new_pool(address).request(
+                'DELETE',
+                f'/requests/{request_id}',
+                timeout=_CANCEL_TIMEOUT_S,
+                retries=False,
+            )
+            document = response.json()
+        except (HTTPError, OSError, ValueError):
+            return ''
+        if isinstance(document, dict):
+            return str(document.get('state', ''))
+        return ''
+
+    def read_json(
+        self,
+        address: TargetAddress,
+        path: str,
+    ) -> Mapping[str, object] | None:
+        """Read a small JSON document, such as a load report."""
+        try:
+            response = self._pool(address).request(
+                'GET',
+                path,
+                timeout=_CANCEL_TIMEOUT_S,
+                retries=False,
+            )
+            document = response.json()
+        except (HTTPError, OSError, ValueError):
+            return None
+        return document if isinstance(document, dict) else None
+
+    def forget(self, address: TargetAddress) -> None:
+        """Close the connections to a target that is no longer used."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def _pool(self, address: TargetAddress) -> _Pool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = _new_pool(address)
+            pool = self._pools.setdefault(address, pool)
+        return pool
+
+
+def _new_pool(address: TargetAddress) -> _Pool:
+    return _Pool(address.host, address.port, maxsize=address.max_connections)
+
+
+def _timeout(time_left: timedelta) -> urllib3.Timeout:
+    return urllib3.Timeout(
+        connect=min(_CONNECT_TIMEOUT_S, time_left.total_seconds()),
+        read=time_left.total_seconds() + _READ_MARGIN_S,
+    )
+
+
+def _target_headers(
+    request: SteeredRequest,
+    time_left: timedelta,
+) -> dict[str, str]:
+    headers = {
+        name: text
+        for name, text in request.headers
+        if name.lower() not in _HOP_BY_HOP
+    }
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[DEADLINE_HEADER] = str(max(time_left // _MILLISECOND, 1))
+    if request.traceparent:
+        headers['traceparent'] = request.traceparent
+    return headers
+
+
+def _read_report(
+    response: urllib3.BaseHTTPResponse,
+    request: SteeredRequest,
+    address: TargetAddress,
+    response_bytes: int,
+) -> AttemptReport:
+    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+        # The bytes on this connection belong to some other request.
+        response.close()
+        return _unknown(f'{address.target} answered another request')
+    if _says_not_run(response):
+        response.drain_conn()
+        response.release_conn()
+        return AttemptReport(
+            AttemptResult.DID_NOT_RUN,
+            WorkState.ENDED,
+            reason=f'{address.target} refused the request',
+        )
+    body = _read_body(response, response_bytes)
+    if body is None:
+        response.close()
+        return _unknown(f'the answer of {address.target} was cut or too large')
+    return AttemptReport(
+        AttemptResult.ANSWERED,
+        WorkState.ENDED,
+        Answer(response.status, _answer_headers(response), body),
+    )
+
+
+def _says_not_run(response: urllib3.BaseHTTPResponse) -> bool:
+    outcome = response.headers.get(OUTCOME_HEADER)
+    return (
+        response.status == HTTPStatus.SERVICE_UNAVAILABLE
+        and outcome == RequestOutcome.NOT_RUN.value
+    )
+
+
+def _read_body(
+    response: urllib3.BaseHTTPResponse,
+    limit_bytes: int,
+) -> bytes | None:
+    chunks = bytearray()
+    try:
+        for chunk in response.stream(_READ_CHUNK_BYTES, decode_content=False):
+            chunks.extend(chunk)
+            if len(chunks) > limit_bytes:
+                return None
+    except (HTTPError, OSError):
+        return None
+    response.release_conn()
+    return bytes(chunks)
+
+
+def _answer_headers(
+    response: urllib3.BaseHTTPResponse,
+) -> list[tuple[str, str]]:
+    return [
+        (name, text)
+        for name, text in response.headers.items()
+        if name.lower() not in _HOP_BY_HOP
+    ]
+
+
+def _unknown(reason: str) -> AttemptReport:
+    return AttemptReport(
+        AttemptResult.UNKNOWN,
+        WorkState.MAY_CONTINUE,
+        reason=reason,
+    )
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_tasks.py
@@ -0,0 +1,58 @@
+"""Helpers for the daemon's long-running tasks."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import structlog
+
+_log = structlog.get_logger()
+
+
+async def pause(length: timedelta) -> None:
+    """Wait without blocking the event loop."""
+    await asyncio.sleep(length.total_seconds())
+
+
+async def repeat(
+    interval: timedelta,
+    step: Callable[[], Awaitable[None]],
+) -> None:
+    """Run ``step`` again and again with a pause in between, until cancelled."""
+    while True:  # noqa: WPS457
+        await step()
+        await pause(interval)
+
+
+class TaskOwner:
+    """Owns background tasks; an unexpected end of one stops the process."""
+
+    def __init__(self, on_failure: Callable[[], None]) -> None:
+        """Call ``on_failure`` when a task ends with an exception."""
+        self._on_failure = on_failure
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, name: str, work: Awaitable[None]) -> None:
+        """Run ``work`` in the background."""
+        task = asyncio.ensure_future(work)
+        task.set_name(name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    async def stop(self) -> None:
+        """Cancel every task and wait for its end."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.error(
+            'task failed',
+            task=task.get_name(),
+            exc_info=task.exception(),
+        )
+        self._on_failure()
