--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_web_server.py
@@ -0,0 +1,46 @@
+"""The CherryPy server of the daemon."""
+
+from contextlib import ExitStack
+
+import cherrypy
+
+from plantainstand_daemon._http import Application
+from plantainstand_daemon._settings import HttpSettings
+
+# Larger than any request body that a catalogue entry may sensibly allow; the
+# service's own limit is checked by the handler.
+_MAX_BODY_BYTES = 16777216
+_LISTEN_BACKLOG = 1024
+_IDLE_TIMEOUT_S = 30
+_SHUTDOWN_TIMEOUT_S = 5
+
+
+def start_web_server(
+    stack: ExitStack,
+    settings: HttpSettings,
+    application: Application,
+) -> None:
+    """Serve ``application`` until ``stack`` is closed.
+
+    The application is grafted as a plain WSGI callable, because the page
+    handlers of CherryPy cost more than twice as much for each request.
+    """
+    cherrypy.config.update(
+        {
+            'environment': 'production',
+            'engine.autoreload.on': False,
+            'log.screen': False,
+            'log.access_file': '',
+            'log.error_file': '',
+            'server.socket_host': settings.host,
+            'server.socket_port': settings.port,
+            'server.thread_pool': settings.threads,
+            'server.socket_queue_size': _LISTEN_BACKLOG,
+            'server.socket_timeout': _IDLE_TIMEOUT_S,
+            'server.max_request_body_size': _MAX_BODY_BYTES,
+            'server.shutdown_timeout': _SHUTDOWN_TIMEOUT_S,
+        }
+    )
+    cherrypy.tree.graft(application, '')
+    cherrypy.engine.start()
+    stack.callback(cherrypy.engine.exit)
--- a/libraries/protocol/plantainstand_protocol/steering_grpc.py
+++ b/libraries/protocol/plantainstand_protocol/steering_grpc.py
@@ -54,6 +54,14 @@
     async def Heartbeat(self, stream: 'grpclib.server.Stream[plantainstand_protocol.steering_pb2.HeartbeatRequest, plantainstand_protocol.steering_pb2.HeartbeatReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Report(self, stream: 'grpclib.server.Stream[plantainstand_protocol.steering_pb2.ReportRequest, plantainstand_protocol.steering_pb2.ReportReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def LookUpRecord(self, stream: 'grpclib.server.Stream[plantainstand_protocol.steering_pb2.LookUpRecordRequest, plantainstand_protocol.steering_pb2.LookUpRecordReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/plantainstand.Control/Propose': grpclib.const.Handler(
@@ -74,6 +82,18 @@
                 plantainstand_protocol.steering_pb2.HeartbeatRequest,
                 plantainstand_protocol.steering_pb2.HeartbeatReply,
             ),
+            '/plantainstand.Control/Report': grpclib.const.Handler(
+                self.Report,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                plantainstand_protocol.steering_pb2.ReportRequest,
+                plantainstand_protocol.steering_pb2.ReportReply,
+            ),
+            '/plantainstand.Control/LookUpRecord': grpclib.const.Handler(
+                self.LookUpRecord,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                plantainstand_protocol.steering_pb2.LookUpRecordRequest,
+                plantainstand_protocol.steering_pb2.LookUpRecordReply,
+            ),
         }
 
 
@@ -98,6 +118,18 @@
             plantainstand_protocol.steering_pb2.HeartbeatRequest,
             plantainstand_protocol.steering_pb2.HeartbeatReply,
         )
+        self.Report = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/plantainstand.Control/Report',
+            plantainstand_protocol.steering_pb2.ReportRequest,
+            plantainstand_protocol.steering_pb2.ReportReply,
+        )
+        self.LookUpRecord = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/plantainstand.Control/LookUpRecord',
+            plantainstand_protocol.steering_pb2.LookUpRecordRequest,
+            plantainstand_protocol.steering_pb2.LookUpRecordReply,
+        )
 
 
 class SteeringBase(abc.ABC):
