Add the catalogue state machine and the deployment catalogues

Operators change entries and announce drains concurrently and resend when an answer is lost, so a change needs an expected revision and an operation id.

Ruled out: one revision for the whole catalogue, because changes of unrelated entries would then conflict; an entry's revision is the log index of its last change. A view per change was ruled out as well: after 1,000 missed changes only one view is needed, so it is built when asked for.

Names ended with "$" before, which let a line feed through; counts had no upper bound, and MessagePack refuses integers above 64 bits. Both are refused now.

--- a/libraries/catalogue/plantainstand_catalogue/__init__.py
+++ b/libraries/catalogue/plantainstand_catalogue/__init__.py
@@ -1,6 +1,26 @@
 """Catalogue entries, drains and the catalogue state machine."""
 
+from plantainstand_catalogue._commands import (
+    NO_REVISION,
+    AnnounceDrain,
+    CatalogueCommand,
+    ChangeAccepted,
+    ChangeInvalid,
+    ChangeOutcome,
+    CommandProblem,
+    DrainSubject,
+    DrainSubjectKind,
+    PutEntry,
+    RemoveEntry,
+    RevisionConflict,
+    WithdrawDrain,
+    decode_command,
+    decode_outcome,
+    encode_command,
+    encode_outcome,
+)
 from plantainstand_catalogue._entries import (
+    ENTRY_TYPES,
     AnyEntry,
     AvailabilityZone,
     Entry,
@@ -17,21 +37,66 @@
     TargetLimits,
     WarmUp,
 )
+from plantainstand_catalogue._fields import parse_entry
+from plantainstand_catalogue._files import (
+    check_catalogue,
+    in_reference_order,
+    load_catalogue_file,
+)
+from plantainstand_catalogue._operations import OPERATIONS_KEPT
+from plantainstand_catalogue._problems import CatalogueProblem
+from plantainstand_catalogue._state import MAX_VM_DRAINS, CatalogueState
+from plantainstand_catalogue._view import (
+    CatalogueView,
+    RegionPair,
+    VersionedEntry,
+    empty_view,
+)
 
 __all__ = (
+    'ENTRY_TYPES',
+    'MAX_VM_DRAINS',
+    'NO_REVISION',
+    'OPERATIONS_KEPT',
+    'AnnounceDrain',
     'AnyEntry',
     'AvailabilityZone',
+    'CatalogueCommand',
+    'CatalogueProblem',
+    'CatalogueState',
+    'CatalogueView',
+    'ChangeAccepted',
+    'ChangeInvalid',
+    'ChangeOutcome',
+    'CommandProblem',
+    'DrainSubject',
+    'DrainSubjectKind',
     'Entry',
     'HedgePolicy',
     'InFlightLimits',
     'Link',
     'LinkLimits',
+    'PutEntry',
     'Region',
+    'RegionPair',
+    'RemoveEntry',
     'RetryPolicy',
+    'RevisionConflict',
     'Service',
     'ServiceLimits',
     'ShiftCap',
     'Target',
     'TargetLimits',
+    'VersionedEntry',
     'WarmUp',
+    'WithdrawDrain',
+    'check_catalogue',
+    'decode_command',
+    'decode_outcome',
+    'empty_view',
+    'encode_command',
+    'encode_outcome',
+    'in_reference_order',
+    'load_catalogue_file',
+    'parse_entry',
 )
--- a/libraries/catalogue/plantainstand_catalogue/_entries.py
+++ b/libraries/catalogue/plantainstand_catalogue/_entries.py
@@ -1,5 +1,7 @@
 """Catalogue entries: what operators state about the things they own."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Annotated, ClassVar, TypeAlias
 
 import msgspec
@@ -14,14 +16,26 @@
 )
 
 _MAX_PORT = 65535
-
-Count = Annotated[int, msgspec.Meta(ge=0)]
-PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# Larger integers are not exact in every JSON reader, and MessagePack cannot
+# carry integers above 64 bits.
+_MAX_COUNT = 9007199254740991
+_MAX_MILLISECONDS = 3600000
+# The upper bounds of float fields also refuse infinity.
+_MAX_RATE = 1000000000
+_MAX_OWNER_LENGTH = 200
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+PositiveCount = Annotated[int, msgspec.Meta(gt=0, le=_MAX_COUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_MILLISECONDS)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
-Rate = Annotated[float, msgspec.Meta(gt=0)]
-Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9_.-]{0,62}$')]
+Rate = Annotated[float, msgspec.Meta(gt=0, le=_MAX_RATE)]
+# Names are parts of URLs and headers: "$" would let a line feed pass.
+Name = Annotated[str, msgspec.Meta(pattern=r'\A[a-z0-9][a-z0-9_.-]{0,62}\Z')]
 Port = Annotated[int, msgspec.Meta(gt=0, le=_MAX_PORT)]
+Owner = Annotated[
+    OwnerId,
+    msgspec.Meta(min_length=1, max_length=_MAX_OWNER_LENGTH),
+]
 
 
 class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,7 +93,7 @@
     """When a second attempt of an idempotent request is started."""
 
     enabled: bool = False
-    """Only heeded for idempotent services."""
+    """Refused for services that are not idempotent."""
 
     percentile: Fraction = 0.95
     """Observed latency percentile after which the hedge starts."""
@@ -88,7 +102,7 @@
 class WarmUp(Strict, frozen=True):
     """Ramp of a target that has started with a cold cache."""
 
-    duration_ms: Milliseconds = 10000
+    duration_ms: Milliseconds = 10000.0
     """Time from the first use to the full share."""
 
     initial_fraction: Fraction = 0.25
@@ -113,7 +127,7 @@
     id: Name
     """Name, unique among the entries of its kind."""
 
-    owner: OwnerId
+    owner: Owner
     """Who answers for the entry."""
 
     traffic_class: TrafficClass = msgspec.field(name='class')
@@ -206,3 +220,11 @@
 
 
 AnyEntry: TypeAlias = Region | AvailabilityZone | Link | Service | Target
+
+ENTRY_TYPES: Mapping[str, type[AnyEntry]] = MappingProxyType(
+    {
+        entry_type.kind: entry_type
+        for entry_type in (Region, AvailabilityZone, Link, Service, Target)
+    }
+)
+"""Entry type of each kind, in an order in which references resolve."""
--- /dev/null
+++ b/libraries/catalogue/plantainstand_catalogue/_view.py
@@ -0,0 +1,227 @@
+"""Immutable snapshot of the catalogue with the indexes readers need."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import NamedTuple, TypeVar
+
+from plantainstand_core import (
+    AvailabilityZoneId,
+    EntryId,
+    RegionId,
+    Revision,
+    ServiceId,
+    TargetId,
+)
+
+from plantainstand_catalogue._commands import (
+    NO_REVISION,
+    DrainSubject,
+    DrainSubjectKind,
+)
+from plantainstand_catalogue._entries import (
+    AnyEntry,
+    AvailabilityZone,
+    Link,
+    Region,
+    Service,
+    Target,
+)
+
+KeyT = TypeVar('KeyT')
+EntryT = TypeVar('EntryT')
+
+
+class VersionedEntry(NamedTuple):
+    """An entry and the revision of the change that put it."""
+
+    entry: AnyEntry
+    revision: Revision
+
+
+class RegionPair(NamedTuple):
+    """A direction between two regions."""
+
+    from_region: RegionId
+    to_region: RegionId
+
+
+@dataclass(frozen=True)
+class CatalogueView:
+    """The catalogue after one change; every mapping is read-only."""
+
+    revision: Revision
+    """Revision of the newest change; 0 for the empty catalogue."""
+
+    entries: Mapping[EntryId, VersionedEntry]
+    """Every entry, in the order in which they were first put."""
+
+    drains: Mapping[DrainSubject, Revision]
+    """Announced drains and the revision of their announcement."""
+
+    regions: Mapping[RegionId, Region]
+    availability_zones: Mapping[AvailabilityZoneId, AvailabilityZone]
+    services: Mapping[ServiceId, Service]
+    targets: Mapping[TargetId, Target]
+    links: Mapping[RegionPair, Link]
+
+    _targets_by_service: Mapping[ServiceId, Sequence[Target]]
+    _targets_by_zone: Mapping[AvailabilityZoneId, Sequence[Target]]
+    _zones_by_region: Mapping[RegionId, Sequence[AvailabilityZone]]
+
+    def entry(self, entry_id: EntryId) -> AnyEntry | None:
+        """Return an entry, or nothing if there is none."""
+        found = self.entries.get(entry_id)
+        return found.entry if found else None
+
+    def entry_revision(self, entry_id: EntryId) -> Revision:
+        """Return the revision to expect when changing an entry."""
+        found = self.entries.get(entry_id)
+        return found.revision if found else NO_REVISION
+
+    def targets_of_service(self, service: ServiceId) -> Sequence[Target]:
+        """Return the targets of a service; none if it is unknown."""
+        return self._targets_by_service.get(service, ())
+
+    def targets_of_zone(self, zone: AvailabilityZoneId) -> Sequence[Target]:
+        """Return the targets in an availability zone."""
+        return self._targets_by_zone.get(zone, ())
+
+    def zones_of_region(self, region: RegionId) -> Sequence[AvailabilityZone]:
+        """Return the availability zones of a region."""
+        return self._zones_by_region.get(region, ())
+
+    def region_of_zone(self, zone: AvailabilityZoneId) -> RegionId | None:
+        """Return the region of an availability zone."""
+        found = self.availability_zones.get(zone)
+        return found.region if found else None
+
+    def link(self, source: RegionId, destination: RegionId) -> Link | None:
+        """Return the link in this direction between two regions."""
+        return self.links.get(RegionPair(source, destination))
+
+    def delay_ms(
+        self,
+        source: AvailabilityZoneId,
+        destination: AvailabilityZoneId,
+    ) -> float | None:
+        """Return the one-way delay between two availability zones, in ms.
+
+        It is 0 inside a zone, and nothing if a zone is unknown or no link
+        leads from the one region to the other.
+        """
+        from_region = self.region_of_zone(source)
+        to_region = self.region_of_zone(destination)
+        if from_region is None or to_region is None:
+            return None
+        if source == destination:
+            return 0
+        if from_region == to_region:
+            return self.regions[from_region].zone_delay_ms
+        found = self.link(from_region, to_region)
+        return found.delay_ms if found else None
+
+    def is_draining(
+        self,
+        kind: DrainSubjectKind,
+        name: str,
+        availability_zone: AvailabilityZoneId | None = None,
+    ) -> bool:
+        """Tell whether a drain covers a target, VM, zone or region.
+
+        A drain of a zone or region covers what lies in it. VMs are no
+        catalogue entries: ``availability_zone`` says where a VM lies. For
+        other kinds the catalogue knows, and the argument is not used.
+        """
+        # Most of the time no drain is announced, and this is asked often.
+        if not self.drains:
+            return False
+        return any(
+            subject in self.drains
+            for subject in self._covering(kind, name, availability_zone)
+        )
+
+    def _covering(
+        self,
+        kind: DrainSubjectKind,
+        name: str,
+        availability_zone: AvailabilityZoneId | None,
+    ) -> Iterable[DrainSubject]:
+        yield DrainSubject(kind.value, name)
+        zone = availability_zone
+        if kind is DrainSubjectKind.REGION:
+            return
+        if kind is DrainSubjectKind.TARGET:
+            target = self.targets.get(TargetId(name))
+            zone = target.availability_zone if target else None
+        if kind is DrainSubjectKind.AVAILABILITY_ZONE:
+            zone = AvailabilityZoneId(name)
+        if zone is None:
+            return
+        yield DrainSubject(DrainSubjectKind.AVAILABILITY_ZONE.value, zone)
+        region = self.region_of_zone(zone)
+        if region is not None:
+            yield DrainSubject(DrainSubjectKind.REGION.value, region)
+
+
+def build_view(
+    revision: Revision,
+    entries: Mapping[EntryId, VersionedEntry],
+    drains: Mapping[DrainSubject, Revision],
+) -> CatalogueView:
+    """Copy the given mappings into a view and index them."""
+    plain = [found.entry for found in entries.values()]
+    targets = [entry for entry in plain if isinstance(entry, Target)]
+    zones = [entry for entry in plain if isinstance(entry, AvailabilityZone)]
+    links = [entry for entry in plain if isinstance(entry, Link)]
+    return CatalogueView(
+        revision=revision,
+        entries=MappingProxyType(dict(entries)),
+        drains=MappingProxyType(dict(drains)),
+        regions=_index(
+            (entry.region_id, entry)
+            for entry in plain
+            if isinstance(entry, Region)
+        ),
+        availability_zones=_index(
+            (zone.availability_zone_id, zone) for zone in zones
+        ),
+        services=_index(
+            (entry.service_id, entry)
+            for entry in plain
+            if isinstance(entry, Service)
+        ),
+        targets=_index((target.target_id, target) for target in targets),
+        links=_index(
+            (RegionPair(link.from_region, link.to_region), link)
+            for link in links
+        ),
+        _targets_by_service=_group(
+            (target.service, target) for target in targets
+        ),
+        _targets_by_zone=_group(
+            (target.availability_zone, target) for target in targets
+        ),
+        _zones_by_region=_group((zone.region, zone) for zone in zones),
+    )
+
+
+def empty_view() -> CatalogueView:
+    """Return the view of a catalogue that never had a change."""
+    return build_view(NO_REVISION, {}, {})
+
+
+def _index(
+    pairs: Iterable[tuple[KeyT, EntryT]],
+) -> Mapping[KeyT, EntryT]:
+    return MappingProxyType(dict(pairs))
+
+
+def _group(
+    pairs: Iterable[tuple[KeyT, EntryT]],
+) -> Mapping[KeyT, Sequence[EntryT]]:
+    groups: defaultdict[KeyT, list[EntryT]] = defaultdict(list)
+    for key, entry in pairs:
+        groups[key].append(entry)
+    return _index((name, tuple(group)) for name, group in groups.items())
--- /dev/null
+++ b/tests/catalogue/test_files.py
@@ -0,0 +1,243 @@
+"""Catalogue files: every problem is reported; the deployments are right."""
+
+import json
+import tempfile
+import unittest
+from collections import Counter
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from plantainstand_catalogue import (
+    AnyEntry,
+    Service,
+    Target,
+    check_catalogue,
+    load_catalogue_file,
+)
+
+from tests.catalogue import examples
+
+
+def _region(**changes: object) -> dict[str, Any]:
+    return {
+        'kind': 'region',
+        'id': 'bajio',
+        'owner': 'operations',
+        'class': 'critical',
+        'limits': {'requests_in_flight': 10},
+        'zone_delay_ms': 0.5,
+        **changes,
+    }
+
+
+# Name, document, texts of the reported problems in order.
+_BAD_FILES: tuple[tuple[str, object, tuple[str, ...]], ...] = (
+    ('no entries', {}, ('missing required field `entries`',)),
+    ('misspelt', {'entrys': []}, ('did you mean `entries`',)),
+    ('no object', {'entries': [5]}, ('entries[0]: is not an object',)),
+    ('no kind', {'entries': [{}]}, ('entries[0], kind: is missing',)),
+    (
+        'unknown kind',
+        {'entries': [_region(kind='zone')]},
+        ("'zone' is not an entry kind; use one of region, availability_zone",),
+    ),
+    (
+        'every field of two entries',
+        {
+            'entries': [
+                _region(limits={'requests_in_flight': -1}, owner=''),
+                _region(id='UPPER', zone_delay_ms='fast', zone_delay=1),
+            ],
+        },
+        (
+            'region/bajio, limits.requests_in_flight: -1 is refused',
+            "region/bajio, owner: '' is refused",
+            'region/UPPER, zone_delay: is an unknown field; did you mean',
+            "region/UPPER, zone_delay_ms: 'fast' is refused",
+            "region/UPPER, id: 'UPPER' is refused",
+        ),
+    ),
+    (
+        'missing limit',
+        {'entries': [_region(limits={})]},
+        ('limits.requests_in_flight: is missing; add the field',),
+    ),
+    (
+        'not finite',
+        {'entries': [_region(zone_delay_ms=float('inf'))]},
+        ('zone_delay_ms: inf is refused',),
+    ),
+    (
+        'not a number',
+        {'entries': [_region(zone_delay_ms=float('nan'))]},
+        ('zone_delay_ms: nan is refused',),
+    ),
+    (
+        'name that ends in a line feed',
+        {'entries': [_region(id='bajio\n')]},
+        ('is refused',),
+    ),
+    (
+        'more than 64 bits',
+        {'entries': [_region(limits={'requests_in_flight': 2**70})]},
+        ('limits.requests_in_flight',),
+    ),
+    (
+        'same id twice',
+        {'entries': [_region(), _region()]},
+        ('region/bajio, id: another entry of this kind has the same id',),
+    ),
+)
+
+_LINK_AGAIN = examples.link('bajio', 'norte')
+_BAD_CATALOGUES: tuple[tuple[str, AnyEntry, tuple[str, ...]], ...] = (
+    (
+        'two problems',
+        examples.target('t', 'sul-a', 21000),
+        (
+            'target/t, availability_zone: there is no entry',
+            'target/t, port: target/catalogue-1 already has',
+            'target/catalogue-1, port: target/t already has',
+        ),
+    ),
+    (
+        'hedge of what must not run twice',
+        Service(
+            id='order',
+            owner=_LINK_AGAIN.owner,
+            traffic_class=_LINK_AGAIN.traffic_class,
+            limits=examples.service('x').limits,
+            idempotent=False,
+            shift=examples.service('x').shift,
+            hedge=examples.HEDGE,
+        ),
+        ('service/order, hedge.enabled: a hedge could run',),
+    ),
+    (
+        'host name, too few connections',
+        examples.target('t', port=21009, host='example', connections=3),
+        (
+            'target/t, limits.connections: 3 connections cannot fill 4 slots',
+            "target/t, host: 'example' is not an IP address",
+        ),
+    ),
+    (
+        'other spelling of an address',
+        examples.target('t', port=21009, host='0:0::1'),
+        ('target/t, host:',),
+    ),
+)
+
+_DEPLOYMENTS = Path(__file__).parents[2] / 'bench' / 'deployments'
+# Name, targets and slots of each service, delay between zones and regions.
+_SIZES: tuple[tuple[str, Any, float, float], ...] = (
+    (
+        'trefila',
+        {'catalogue': (14, 9), 'order': (12, 7), 'dispatch': (12, 3)},
+        0.5,
+        20.0,
+    ),
+    (
+        'edredao',
+        {'status': (18, 5), 'booking': (12, 4), 'till': (12, 3)},
+        1.4,
+        35.0,
+    ),
+)
+
+
+class FileTest(unittest.TestCase):
+    """Guards against files that are misread or corrected one by one."""
+
+    def test_bad_files(self) -> None:
+        """Every problem is reported at once, with its place."""
+        for name, document, expected in _BAD_FILES:
+            with self.subTest(name):
+                outcome = _load(json.dumps(document))
+                texts = [str(found) for found in outcome.unwrap_err()]
+                self.assertEqual(len(texts), len(expected), texts)
+                for text, part in zip(texts, expected, strict=True):
+                    self.assertIn(part, text)
+
+    def test_entries_in_any_order(self) -> None:
+        """Entries are returned so that they can be put one by one."""
+        zone = {
+            **_region(kind='availability_zone', id='bajio-a'),
+            'region': 'bajio',
+        }
+        zone.pop('zone_delay_ms')
+        text = json.dumps({'entries': [zone, _region()]})
+        entries = _load(f'// comment\n{text}').unwrap()
+        self.assertEqual(
+            [entry.entry_id for entry in entries],
+            ['region/bajio', 'availability_zone/bajio-a'],
+        )
+
+    def test_bad_catalogues(self) -> None:
+        """References, shared values and rules between fields are checked."""
+        for name, entry, expected in _BAD_CATALOGUES:
+            with self.subTest(name):
+                problems = check_catalogue((entry, *examples.ENTRIES))
+                texts = sorted(map(str, problems), reverse=True)
+                self.assertEqual(len(texts), len(expected), texts)
+                for text, part in zip(
+                    texts,
+                    sorted(expected, reverse=True),
+                    strict=True,
+                ):
+                    self.assertIn(part, text)
+
+
+class DeploymentTest(unittest.TestCase):
+    """Guards against benchmarks of another size than the design page's."""
+
+    def test_sizes(self) -> None:
+        """Both files are valid and have the sizes of section 3."""
+        for name, services, zone_delay, link_delay in _SIZES:
+            with self.subTest(name):
+                entries = load_catalogue_file(_path(name)).unwrap()
+                self.assertEqual(_service_sizes(entries), services)
+                view = examples.filled_state(entries).view()
+                delays = {
+                    view.delay_ms(source, destination)
+                    for source in view.availability_zones
+                    for destination in view.availability_zones
+                }
+                self.assertEqual(delays, {0, zone_delay, link_delay})
+                self.assertEqual(len(view.availability_zones), 6)
+
+    def test_services(self) -> None:
+        """Only idempotent services are critical and hedged."""
+        services = [
+            entry
+            for sizes in _SIZES
+            for entry in load_catalogue_file(_path(sizes[0])).unwrap()
+            if isinstance(entry, Service)
+        ]
+        for service in services:
+            with self.subTest(service.id):
+                is_critical = service.traffic_class.value == 'critical'
+                self.assertEqual(service.idempotent, is_critical)
+                self.assertEqual(service.idempotent, service.hedge.enabled)
+                self.assertLessEqual(service.limits.deadline_ms, 10000)
+
+
+def _path(name: str) -> Path:
+    return _DEPLOYMENTS / f'{name}-catalogue.jsonc'
+
+
+def _service_sizes(entries: Any) -> Mapping[str, tuple[int, int]]:
+    targets = [entry for entry in entries if isinstance(entry, Target)]
+    counts = Counter(target.service for target in targets)
+    return {
+        target.service: (counts[target.service], target.limits.slots)
+        for target in targets
+    }
+
+
+def _load(text: str) -> Any:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'catalogue.jsonc'
+        path.write_text(text, encoding='utf-8')
+        return load_catalogue_file(path)
