--- a/libraries/steering/plantainstand_steering/__init__.py
+++ b/libraries/steering/plantainstand_steering/__init__.py
@@ -1,1 +1,66 @@
 """Target choice, admission queue, retry budget, hedging and target health."""
+
+from plantainstand_steering._candidate import (
+    AttemptResult,
+    Candidate,
+    CandidateId,
+    CandidateKind,
+    LoadReport,
+    RankedCandidate,
+    may_share_target,
+)
+from plantainstand_steering._health import (
+    HealthPolicy,
+    HealthState,
+    TargetHealth,
+)
+from plantainstand_steering._hedge import HedgeFacts, HedgePolicy
+from plantainstand_steering._queue import AdmissionQueue, QueuedRequest
+from plantainstand_steering._ranking import rank_candidates
+from plantainstand_steering._retry import (
+    AttemptOutcome,
+    RetryBudget,
+    RetryFacts,
+    RetryRefusal,
+    may_retry,
+    retry_refusal,
+)
+from plantainstand_steering._scheduler import (
+    Admission,
+    AdmissionScheduler,
+    Refused,
+    ShedReason,
+    Started,
+)
+from plantainstand_steering._view import Attempt, ServiceView
+
+__all__ = (
+    'Admission',
+    'AdmissionQueue',
+    'AdmissionScheduler',
+    'Attempt',
+    'AttemptOutcome',
+    'AttemptResult',
+    'Candidate',
+    'CandidateId',
+    'CandidateKind',
+    'HealthPolicy',
+    'HealthState',
+    'HedgeFacts',
+    'HedgePolicy',
+    'LoadReport',
+    'QueuedRequest',
+    'RankedCandidate',
+    'Refused',
+    'RetryBudget',
+    'RetryFacts',
+    'RetryRefusal',
+    'ServiceView',
+    'ShedReason',
+    'Started',
+    'TargetHealth',
+    'may_retry',
+    'may_share_target',
+    'rank_candidates',
+    'retry_refusal',
+)
