Add the share state machine, planner, authority and ledger

Cause: entry VMs must decide from shares that they own, and no two of them may use the same slot after a crash, a freeze or a partition.

Ruled out: shares keyed by VM only (a restarted process would free slots that the old process's work still occupies); counting a lowered share at its new value (its holder may not have seen the change yet).

Change: the state machine keeps a share at the highest value that its holder may still use and refuses growth beyond the capacity whoever asks for it. A reclaim carries the index that it was decided at and is void after a change of the zone's members.

Conclusion: first version of the public API.

--- /dev/null
+++ b/libraries/shares/plantainstand_shares/_grantor.py
@@ -0,0 +1,179 @@
+"""Leader side of authority: support, revocation and reclaim.
+
+Safety argument. Shares of an incarnation are reclaimed only when it can no
+longer have authority and its work has ended:
+
+1. Leader support. The leader counts it from its own answer, later than the
+   send time the VM counts from, and adds the drift bound. An earlier leader
+   answered only within its tenure, which counts from the send time of the
+   messages that a majority answered, so before the new leader's election
+   plus the tenure. A leader answers and reclaims only after it has applied
+   the first entry of its own term, and never supports an incarnation whose
+   reclaim it has proposed; so no support follows a reclaim decision.
+2. Zone support. The VM needs a majority of the members in *its* view, which
+   may be old. The leader therefore requires, for every set of members since
+   the index that the VM is known to have applied, that too few peers are
+   left that could support it. A peer is excluded by its promise, which it
+   keeps as long as it runs, by a clean departure, or by its end. A peer that
+   restarts supports nobody before its own registration is in its view; that
+   registration lies after a committed reclaim, or voids one decided before.
+3. Grace. A view in which the VM is the only member is excluded only by the
+   grace, counted from the last possible leader support.
+4. A terminated VM, or one whose later process has registered, uses nothing.
+5. Work that it has dispatched ends within the longest deadline that it has
+   known, which the register keeps for each incarnation.
+
+A membership change between decision and commit voids the reclaim, so the
+sets of members examined are all that the VM can have seen.
+"""
+
+from collections.abc import Collection
+from datetime import timedelta
+
+from plantainstand_core import Clock, LogIndex, VmId
+
+from plantainstand_shares._commands import ReclaimVm
+from plantainstand_shares._exclusion import Exclusions
+from plantainstand_shares._heartbeat import (
+    Heartbeat,
+    HeartbeatAnswer,
+    HeartbeatStatus,
+)
+from plantainstand_shares._timing import DEFAULT_TIMING, DRIFT, SupportTiming
+from plantainstand_shares._view import ShareView, VmIncarnation, VmRecord
+
+
+class SupportGrantor:
+    """Support given by one leader during one term."""
+
+    def __init__(self, clock: Clock, timing: SupportTiming = DEFAULT_TIMING):
+        """Start when the election is won."""
+        self._clock = clock
+        self._timing = timing
+        self._started_at = clock.monotonic()
+        self._quorum_sent_at = timedelta.min
+        self._view: ShareView | None = None
+        self._answered_at: dict[VmIncarnation, timedelta] = {}
+        self._applied: dict[VmIncarnation, LogIndex] = {}
+        self._proposed: set[VmIncarnation] = set()
+        self._exclusions = Exclusions(timing)
+
+    def note_quorum(self, sent_at: timedelta) -> None:
+        """Note that a majority of voters answered messages of ``sent_at``."""
+        self._quorum_sent_at = max(self._quorum_sent_at, sent_at)
+
+    def apply(self, view: ShareView) -> None:
+        """Take the committed state.
+
+        Called first when the first entry of the leader's own term is applied,
+        then after every change.
+        """
+        self._view = view
+        self._exclusions.apply(view.register, self._clock.monotonic())
+        for known in (self._answered_at, self._applied):
+            for key in tuple(known):
+                if key not in view.register.records:
+                    known.pop(key)
+        self._proposed.intersection_update(view.register.records)
+
+    def note_terminated(self, vms: Collection[VmId]) -> None:
+        """Note the VMs that the platform's list calls terminated."""
+        self._exclusions.note_terminated(vms, self._clock.monotonic())
+
+    def answer(self, heartbeat: Heartbeat) -> HeartbeatAnswer:
+        """Record a heartbeat and give or refuse support."""
+        now = self._clock.monotonic()
+        sender = heartbeat.sender
+        view = self._view
+        if view is None or now - self._quorum_sent_at >= self._timing.tenure:
+            return HeartbeatAnswer(HeartbeatStatus.NO_QUORUM)
+        record = view.member(sender)
+        if record is None:
+            return HeartbeatAnswer(HeartbeatStatus.UNKNOWN_INCARNATION)
+        self._exclusions.note_promises(sender, heartbeat.revoked, now)
+        self._applied[sender] = max(
+            heartbeat.applied_index,
+            self._applied.get(sender, record.applied_floor),
+        )
+        revoke = self._revocations(record)
+        if sender in self._proposed:
+            return HeartbeatAnswer(
+                HeartbeatStatus.UNKNOWN_INCARNATION,
+                revoke,
+            )
+        self._answered_at[sender] = now
+        return HeartbeatAnswer(HeartbeatStatus.SUPPORTED, revoke)
+
+    def is_lapsed(self, key: VmIncarnation) -> bool:
+        """Tell whether leader support has certainly ended."""
+        lease_end = self._last_support(key) + self._timing.lease * DRIFT
+        return self._clock.monotonic() >= lease_end
+
+    def lapsed(self) -> frozenset[VmIncarnation]:
+        """Return the members whose leader support has ended."""
+        if self._view is None:
+            return frozenset()
+        return frozenset(
+            record.key
+            for record in self._view.register.records.values()
+            if record.is_member and self.is_lapsed(record.key)
+        )
+
+    def reclaims(self) -> tuple[ReclaimVm, ...]:
+        """Return the reclaims to propose now, at most one for each zone.
+
+        A proposed incarnation gets no support again, unless
+        :meth:`reclaim_refused` says that its reclaim was not committed.
+        """
+        if self._view is None:
+            return ()
+        due = {
+            record.availability_zone: record
+            for record in self._view.register.records.values()
+            if record.ended_at is None and self._is_due(record)
+        }
+        self._proposed.update(record.key for record in due.values())
+        return tuple(
+            ReclaimVm(record.vm, record.incarnation, self._view.index)
+            for record in due.values()
+        )
+
+    def reclaim_refused(self, key: VmIncarnation) -> None:
+        """Note that the state machine refused a proposed reclaim."""
+        self._proposed.discard(key)
+
+    def _is_due(self, record: VmRecord) -> bool:
+        end = self._authority_end(record)
+        if end is None:
+            return False
+        work = timedelta(milliseconds=record.longest_deadline_ms)
+        settled = end + (work + self._timing.dispatch_allowance) * DRIFT
+        return self._clock.monotonic() >= settled
+
+    def _authority_end(self, record: VmRecord) -> timedelta | None:
+        if self._view is None:
+            return None
+        last_support = self._last_support(record.key)
+        zone_end = self._exclusions.authority_end(
+            self._view.register,
+            record,
+            self._applied.get(record.key, record.applied_floor),
+            last_support + self._timing.sole_member_grace * DRIFT,
+        )
+        if zone_end is None:
+            return None
+        return max(zone_end, last_support + self._timing.lease * DRIFT)
+
+    def _last_support(self, key: VmIncarnation) -> timedelta:
+        earlier_leader = self._started_at + self._timing.tenure * DRIFT
+        return max(earlier_leader, self._answered_at.get(key, timedelta.min))
+
+    def _revocations(self, record: VmRecord) -> frozenset[VmIncarnation]:
+        if self._view is None:
+            return frozenset()
+        members = self._view.register.members(record.availability_zone)
+        return frozenset(
+            peer.key
+            for peer in members
+            if peer.key != record.key and self.is_lapsed(peer.key)
+        )
--- /dev/null
+++ b/libraries/shares/plantainstand_shares/_pacing.py
@@ -0,0 +1,87 @@
+"""Limits below the share of a target's slots: warm-up and growth."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+_SECOND = timedelta(seconds=1)
+# Use that falls and rises again within this time is not growth.
+_PEAK_MEMORY = timedelta(seconds=10)
+
+
+@dataclass(frozen=True)
+class SlotRamp:
+    """Usable part of a cold target's share, growing with time."""
+
+    duration: timedelta
+    """Time from the first use to the full share; zero for no ramp."""
+
+    initial_fraction: float
+    """Usable part at the first use; at least one slot is usable."""
+
+    def usable(self, share: int, since_first_use: timedelta) -> int:
+        """Return the usable slots of ``share``."""
+        if since_first_use >= self.duration:
+            return share
+        progress = since_first_use / self.duration
+        fraction = (
+            self.initial_fraction + (1 - self.initial_fraction) * progress
+        )
+        return min(share, max(1, int(share * fraction)))
+
+
+class GrowthLimit:
+    """Bound on how fast the slots in use at one target may grow.
+
+    The limit rises by ``slots_per_second`` while it is made use of, and is
+    never more than half a second's growth, or one slot, above the highest
+    recent use. In one second the use then grows by at most the rate, or by
+    half of it and one slot if that is more.
+    """
+
+    def __init__(self, slots_per_second: float):
+        """Start with one usable slot."""
+        self._rate = slots_per_second / 2
+        self._headroom = max(1, slots_per_second / 2)
+        self._limit = 1.0
+        self._peak = 0
+        self._earlier_peak = 0
+        self._period_start = timedelta.min
+        self._updated_at: timedelta | None = None
+
+    def usable(self, in_use: int, now: timedelta) -> int:
+        """Return how many slots may be in use at ``now``."""
+        if self._updated_at is None:
+            self._updated_at = now
+            self._period_start = now
+        self._note_peak(in_use, now)
+        grown = self._limit + self._rate * ((now - self._updated_at) / _SECOND)
+        peak = max(self._peak, self._earlier_peak)
+        self._limit = min(grown, peak + self._headroom)
+        self._updated_at = now
+        return int(self._limit)
+
+    def _note_peak(self, in_use: int, now: timedelta) -> None:
+        if now - self._period_start >= _PEAK_MEMORY:
+            self._earlier_peak = self._peak
+            self._peak = 0
+            self._period_start = now
+        self._peak = max(self._peak, in_use)
+
+
+class TargetPacer:
+    """Usable slots of one target at one VM."""
+
+    def __init__(self, ramp: SlotRamp, growth: GrowthLimit | None = None):
+        """Start cold: the ramp begins with the first question."""
+        self._ramp = ramp
+        self._growth = growth
+        self._started_at: timedelta | None = None
+
+    def usable(self, share: int, in_use: int, now: timedelta) -> int:
+        """Return how many slots may be in use at ``now``."""
+        if self._started_at is None:
+            self._started_at = now
+        usable = self._ramp.usable(share, now - self._started_at)
+        if self._growth is None:
+            return usable
+        return min(usable, self._growth.usable(in_use, now))
--- /dev/null
+++ b/libraries/shares/plantainstand_shares/_register.py
@@ -0,0 +1,173 @@
+"""The VM register: which processes exist and which zones they belong to."""
+
+from collections.abc import Iterable
+from types import MappingProxyType
+
+import msgspec
+from plantainstand_core import AvailabilityZoneId, LogIndex, VmId
+
+from plantainstand_shares._commands import RegisterVm
+from plantainstand_shares._outcomes import (
+    Accepted,
+    RefusalReason,
+    Refused,
+    ShareOutcome,
+)
+from plantainstand_shares._view import (
+    RegisterView,
+    VmIncarnation,
+    VmRecord,
+    VmState,
+)
+
+# Bound of dispatched work until the leader has set the catalogue's.
+DEFAULT_LONGEST_DEADLINE_MS = 60000
+
+
+class Register:
+    """Mutable part of the state machine that knows the VMs."""
+
+    def __init__(
+        self,
+        records: Iterable[VmRecord] = (),
+        zone_versions: Iterable[tuple[AvailabilityZoneId, LogIndex]] = (),
+        longest_deadline_ms: int = DEFAULT_LONGEST_DEADLINE_MS,
+    ):
+        """Start with the contents of a snapshot."""
+        self._records = {record.key: record for record in records}
+        self._zone_versions = dict(zone_versions)
+        self._longest_deadline_ms = longest_deadline_ms
+        self._view: RegisterView | None = None
+
+    @property
+    def longest_deadline_ms(self) -> int:
+        """Bound of the work of VMs that register now."""
+        return self._longest_deadline_ms
+
+    @property
+    def view(self) -> RegisterView:
+        """Immutable copy, shared until the next change."""
+        if self._view is None:
+            self._view = _make_view(self._records, self._zone_versions)
+        return self._view
+
+    def find(self, key: VmIncarnation) -> VmRecord | None:
+        """Return the record of an incarnation that has not ended."""
+        record = self._records.get(key)
+        return record if record and record.ended_at is None else None
+
+    def register(self, command: RegisterVm, index: LogIndex) -> ShareOutcome:
+        """Add an incarnation; the VM's earlier one is superseded."""
+        newest = self.view.newest.get(command.vm)
+        if newest and newest.incarnation >= command.incarnation:
+            if newest.is_member and newest.incarnation == command.incarnation:
+                return Accepted(newest.registered_at)
+            return Refused(RefusalReason.STALE_INCARNATION)
+        if newest:
+            self._put(msgspec.structs.replace(newest, superseded_at=index))
+            self._zone_versions[newest.availability_zone] = index
+        record = VmRecord(
+            **msgspec.structs.asdict(command),
+            state=VmState.LIVE,
+            registered_at=index,
+            applied_floor=index,
+            longest_deadline_ms=self._longest_deadline_ms,
+        )
+        self._put(record)
+        self._change_members(record.availability_zone, index)
+        return Accepted(index)
+
+    def mark_leaving(self, record: VmRecord) -> None:
+        """Take the VM out of the planner's sight."""
+        self._put(msgspec.structs.replace(record, state=VmState.LEAVING))
+
+    def end(self, record: VmRecord, state: VmState, index: LogIndex) -> None:
+        """End an incarnation as departed or reclaimed."""
+        self._put(
+            msgspec.structs.replace(record, state=state, ended_at=index),
+        )
+        self._change_members(record.availability_zone, index)
+
+    def note_applied(self, record: VmRecord, index: LogIndex) -> None:
+        """Record that the VM has applied ``index``."""
+        if index > record.applied_floor:
+            self._put(msgspec.structs.replace(record, applied_floor=index))
+            self._prune(record.availability_zone)
+
+    def set_longest_deadline(self, milliseconds: int) -> None:
+        """Set the bound; a lower one holds only for later incarnations.
+
+        A VM that has not seen the lower bound goes on with the higher one.
+        """
+        self._longest_deadline_ms = milliseconds
+        for record in tuple(self._records.values()):
+            if record.ended_at is None:
+                longest = max(milliseconds, record.longest_deadline_ms)
+                self._put(
+                    msgspec.structs.replace(
+                        record,
+                        longest_deadline_ms=longest,
+                    ),
+                )
+
+    def zone_version(self, zone: AvailabilityZoneId) -> LogIndex:
+        """Return the index of the last change of the zone's members."""
+        return self._zone_versions.get(zone, LogIndex(0))
+
+    def _put(self, record: VmRecord) -> None:
+        self._records[record.key] = record
+        self._view = None
+
+    def _change_members(
+        self,
+        zone: AvailabilityZoneId,
+        index: LogIndex,
+    ) -> None:
+        self._zone_versions[zone] = index
+        self._prune(zone)
+
+    def _prune(self, zone: AvailabilityZoneId) -> None:
+        # An ended record is needed while a member may still believe that the
+        # ended VM is a member, too; the newest one of a VM shows which
+        # incarnations are used up.
+        view = self.view
+        oldest = min(
+            (record.applied_floor for record in view.members(zone)),
+            default=None,
+        )
+        for record in view.zone_records.get(zone, ()):
+            if _is_obsolete(record, oldest, view.newest[record.vm]):
+                self._records.pop(record.key)
+                self._view = None
+
+
+def _is_obsolete(
+    record: VmRecord,
+    oldest_view: LogIndex | None,
+    newest: VmRecord,
+) -> bool:
+    if record.ended_at is None or newest.key == record.key:
+        return False
+    until = record.member_until
+    return oldest_view is None or until is None or until <= oldest_view
+
+
+def _make_view(
+    records: dict[VmIncarnation, VmRecord],
+    zone_versions: dict[AvailabilityZoneId, LogIndex],
+) -> RegisterView:
+    newest: dict[VmId, VmRecord] = {}
+    zones: dict[AvailabilityZoneId, list[VmRecord]] = {}
+    for record in records.values():
+        known = newest.get(record.vm)
+        if known is None or known.incarnation < record.incarnation:
+            newest[record.vm] = record
+        zones.setdefault(record.availability_zone, []).append(record)
+    return RegisterView(
+        records=MappingProxyType(records.copy()),
+        newest=MappingProxyType(newest),
+        zone_records=MappingProxyType(
+            {zone: tuple(group) for zone, group in zones.items()},
+        ),
+        zone_versions=MappingProxyType(zone_versions.copy()),
+    )
--- /dev/null
+++ b/libraries/shares/plantainstand_shares/_table.py
@@ -0,0 +1,164 @@
+"""The share table: who may use how much of each resource.
+
+The sum of what the holders of a resource may still use never grows beyond the
+capacity: a growth that would do so is refused here, whatever the planner asks.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
+import msgspec
+from plantainstand_core import LogIndex, ResourceId
+
+from plantainstand_shares._commands import (
+    Amount,
+    ConfirmRelease,
+    ShareChange,
+    ShareUnit,
+)
+from plantainstand_shares._view import ResourceShares, Share, VmIncarnation
+
+_NONE_HELD = ResourceShares(ShareUnit.COUNT, 0, {}, 0)
+
+
+class ResourceEntry(msgspec.Struct, frozen=True):
+    """One resource in a snapshot."""
+
+    resource: ResourceId
+    unit: ShareUnit
+    capacity: Amount
+    shares: tuple[Share, ...]
+
+
+class ShareTable:
+    """Mutable part of the state machine that knows the shares."""
+
+    def __init__(self, entries: Iterable[ResourceEntry] = ()):
+        """Start with the contents of a snapshot."""
+        self._resources: dict[ResourceId, ResourceShares] = {}
+        self._by_vm: dict[VmIncarnation, dict[ResourceId, Share]] = {}
+        self._vm_views: dict[VmIncarnation, Mapping[ResourceId, Share]] = {}
+        for entry in entries:
+            holders = {share.key: share for share in entry.shares}
+            self._store(entry.resource, entry.unit, entry.capacity, holders)
+
+    @property
+    def resources(self) -> Mapping[ResourceId, ResourceShares]:
+        """Immutable copy by resource."""
+        return MappingProxyType(self._resources.copy())
+
+    @property
+    def by_vm(self) -> Mapping[VmIncarnation, Mapping[ResourceId, Share]]:
+        """Immutable copy by holder; unchanged holders share their part."""
+        for key, shares in self._by_vm.items():
+            if key not in self._vm_views:
+                self._vm_views[key] = MappingProxyType(shares.copy())
+        return MappingProxyType(self._vm_views.copy())
+
+    def change(self, change: ShareChange, index: LogIndex) -> bool:
+        """Set shares of one resource; False if the capacity forbids it."""
+        old = self._resources.get(change.resource, _NONE_HELD)
+        holders = dict(old.holders)
+        for grant in change.grants:
+            key = VmIncarnation(grant.vm, grant.incarnation)
+            held = holders[key].held if key in holders else 0
+            holders[key] = Share(
+                change.resource,
+                grant.vm,
+                grant.incarnation,
+                change.unit,
+                grant.share,
+                max(grant.share, held),
+                index,
+            )
+        if _held(holders) > max(change.capacity, old.held):
+            return False
+        self._store(change.resource, change.unit, change.capacity, holders)
+        return True
+
+    def confirm(self, command: ConfirmRelease) -> bool:
+        """Lower what is held to the share; False if that has changed."""
+        key = VmIncarnation(command.vm, command.incarnation)
+        share = self._by_vm.get(key, {}).get(command.resource)
+        if share is None or share.version != command.version:
+            return False
+        lowered = msgspec.structs.replace(share, held=share.share)
+        self._replace(command.resource, key, lowered)
+        return True
+
+    def drop(self, key: VmIncarnation) -> None:
+        """Remove every share of an incarnation."""
+        for resource in tuple(self._by_vm.get(key, ())):
+            self._replace(resource, key, None)
+
+    def entries(self) -> tuple[ResourceEntry, ...]:
+        """Return the contents for a snapshot, in a fixed order."""
+        return tuple(
+            ResourceEntry(
+                resource,
+                known.unit,
+                known.capacity,
+                tuple(known.holders[key] for key in sorted(known.holders)),
+            )
+            for resource, known in sorted(self._resources.items())
+        )
+
+    def _replace(
+        self,
+        resource: ResourceId,
+        key: VmIncarnation,
+        share: Share | None,
+    ) -> None:
+        known = self._resources[resource]
+        holders = dict(known.holders)
+        holders.pop(key)
+        if share is not None:
+            holders[key] = share
+        self._store(resource, known.unit, known.capacity, holders)
+
+    def _store(
+        self,
+        resource: ResourceId,
+        unit: ShareUnit,
+        capacity: Amount,
+        holders: Mapping[VmIncarnation, Share],
+    ) -> None:
+        old = self._resources.pop(resource, _NONE_HELD)
+        kept = {key: share for key, share in holders.items() if share.held}
+        self._index(resource, old.holders, kept)
+        if kept:
+            self._resources[resource] = ResourceShares(
+                unit,
+                capacity,
+                MappingProxyType(kept),
+                _held(kept),
+            )
+
+    def _index(
+        self,
+        resource: ResourceId,
+        old: Mapping[VmIncarnation, Share],
+        new: Mapping[VmIncarnation, Share],
+    ) -> None:
+        for key in old.keys() | new.keys():
+            share = new.get(key)
+            if share is old.get(key):
+                continue
+            self._vm_views.pop(key, None)
+            shares = self._by_vm.setdefault(key, {})
+            if share is None:
+                shares.pop(resource)
+            else:
+                shares[resource] = share
+            if not shares:
+                self._by_vm.pop(key)
+
+
+def _held(holders: Mapping[VmIncarnation, Share]) -> Amount:
+    # A plain sum of whole numbers stays whole; fsum rounds only once, so the
+    # result does not depend on the order of the holders.
+    amounts = [share.held for share in holders.values()]
+    if all(isinstance(amount, int) for amount in amounts):
+        return sum(amounts)
+    return math.fsum(amounts)
