--- a/libraries/daemon/plantainstand_daemon/_dispatch.py
+++ b/libraries/daemon/plantainstand_daemon/_dispatch.py
@@ -1,7 +1,7 @@
 """Dispatch of one attempt to a target over HTTP, on a worker thread."""
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -31,6 +31,7 @@
 # between the two ends without either noticing.
 _MAX_IDLE_S = 15.0
 _READ_CHUNK_BYTES = 65536
+_NO_TIME = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
 _HOP_BY_HOP = frozenset(
     (
@@ -46,27 +47,25 @@
 )
 
 
-class AttemptResult(Enum):
+class DispatchOutcome(Enum):
     """What one attempt at a target came to."""
 
     ANSWERED = 'answered'
-    DID_NOT_RUN = 'did-not-run'
-    UNKNOWN = 'unknown'
-
+    REFUSED = 'refused'
+    """The target says that the request did not run."""
 
-class WorkState(Enum):
-    """Whether a target may still be working on an attempt."""
+    UNREACHABLE = 'unreachable'
+    """Nothing was sent, so the request did not run."""
 
-    ENDED = 'ended'
-    MAY_CONTINUE = 'may-continue'
+    UNKNOWN = 'unknown'
+    """The target may have run the request, or may still do so."""
 
 
 @dataclass(frozen=True)
-class AttemptReport:
-    """Outcome of one attempt."""
+class DispatchReport:
+    """Outcome of one attempt at a target."""
 
-    outcome: AttemptResult
-    work: WorkState
+    outcome: DispatchOutcome
     answer: Answer | None = None
     reason: str = ''
 
@@ -81,6 +80,21 @@
     max_connections: int
 
 
+@dataclass(frozen=True)
+class AttemptLimits:
+    """Bounds of one attempt."""
+
+    response_bytes: int
+    """Largest response body."""
+
+    may_reuse_connection: bool
+    """Whether a connection in use before may carry the attempt.
+
+    A silent connection would leave a non-idempotent request with an unknown
+    outcome, so that one gets a new connection.
+    """
+
+
 class _Connection(HTTPConnection):
     """Connection that counts as dropped after a long idle time."""
 
@@ -121,41 +135,22 @@
         self,
         address: TargetAddress,
         request: SteeredRequest,
-        time_left: timedelta,
-        limits: tuple[int, bool],
-    ) -> AttemptReport:
+        time_left: Callable[[], timedelta],
+        limits: AttemptLimits,
+    ) -> DispatchReport:
         """Make one attempt; blocks until its end or its deadline.
 
-        ``limits`` holds the largest response body in bytes and whether a
-        connection in use before may carry the attempt. A silent connection
-        would leave a non-idempotent request with an unknown outcome, so that
-        one gets a new connection.
+        ``time_left`` is asked just before sending and returns zero when the
+        VM may not send any more: the process may have been frozen since the
+        decision.
         """
-        response_bytes, may_reuse = limits
-        pool = self._pool(address) if may_reuse else _new_pool(address)
-        try:
-            response = pool.urlopen(
-                request.method,
-                request.path,
-                body=request.body or None,
-                headers=_target_headers(request, time_left),
-                timeout=_timeout(time_left),
-                retries=False,
-                redirect=False,
-                preload_content=False,
+        left = time_left()
+        if left <= _NO_TIME:
+            return DispatchReport(
+                DispatchOutcome.UNREACHABLE,
+                reason='the time to send the request has passed',
             )
-        except (NewConnectionError, ConnectTimeoutError) as problem:
-            return AttemptReport(
-                AttemptResult.DID_NOT_RUN,
-                WorkState.ENDED,
-                reason=f'no connection to {address.target}: {problem}',
-            )
-        except (HTTPError, OSError) as problem:
-            return _unknown(f'{address.target}: {problem!r}')
-        report = _read_report(response, request, address, response_bytes)
-        if not may_reuse:
-            pool.close()
-        return report
+        return self._send_now(address, request, left, limits)
 
     def cancel(self, address: TargetAddress, request_id: str) -> str:
         """Ask the target to cancel; return the state it names, or nothing."""
@@ -197,6 +192,38 @@
         if pool is not None:
             pool.close()
 
+    def _send_now(
+        self,
+        address: TargetAddress,
+        request: SteeredRequest,
+        time_left: timedelta,
+        limits: AttemptLimits,
+    ) -> DispatchReport:
+        may_reuse = limits.may_reuse_connection
+        pool = self._pool(address) if may_reuse else _new_pool(address)
+        try:
+            response = pool.urlopen(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=_target_headers(request, time_left),
+                timeout=_timeout(time_left),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as problem:
+            return DispatchReport(
+                DispatchOutcome.UNREACHABLE,
+                reason=f'no connection to {address.target}: {problem}',
+            )
+        except (HTTPError, OSError) as problem:
+            return _unknown(f'{address.target}: {problem!r}')
+        report = _read_report(response, request, address, limits)
+        if not may_reuse:
+            pool.close()
+        return report
+
     def _pool(self, address: TargetAddress) -> _Pool:
         pool = self._pools.get(address)
         if pool is None:
@@ -236,8 +263,8 @@
     response: urllib3.BaseHTTPResponse,
     request: SteeredRequest,
     address: TargetAddress,
-    response_bytes: int,
-) -> AttemptReport:
+    limits: AttemptLimits,
+) -> DispatchReport:
     if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
         # The bytes on this connection belong to some other request.
         response.close()
@@ -245,18 +272,16 @@
     if _says_not_run(response):
         response.drain_conn()
         response.release_conn()
-        return AttemptReport(
-            AttemptResult.DID_NOT_RUN,
-            WorkState.ENDED,
+        return DispatchReport(
+            DispatchOutcome.REFUSED,
             reason=f'{address.target} refused the request',
         )
-    body = _read_body(response, response_bytes)
+    body = _read_body(response, limits.response_bytes)
     if body is None:
         response.close()
         return _unknown(f'the answer of {address.target} was cut or too large')
-    return AttemptReport(
-        AttemptResult.ANSWERED,
-        WorkState.ENDED,
+    return DispatchReport(
+        DispatchOutcome.ANSWERED,
         Answer(response.status, _answer_headers(response), body),
     )
 
@@ -295,9 +320,5 @@
     ]
 
 
-def _unknown(reason: str) -> AttemptReport:
-    return AttemptReport(
-        AttemptResult.UNKNOWN,
-        WorkState.MAY_CONTINUE,
-        reason=reason,
-    )
+def _unknown(reason: str) -> DispatchReport:
+    return DispatchReport(DispatchOutcome.UNKNOWN, reason=reason)
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_holding.py
@@ -0,0 +1,66 @@
+"""What one incarnation of this VM holds: authority, shares, promises."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from plantainstand_core import Clock, Incarnation, VmId
+from plantainstand_shares import (
+    ShareLedger,
+    ShareView,
+    SupportHolder,
+    SupportTiming,
+    VmIncarnation,
+    ZoneSupport,
+)
+
+_MILLISECOND = timedelta(milliseconds=1)
+_NONE_KNOWN = Incarnation(0)
+
+
+@dataclass(frozen=True)
+class Holding:
+    """Shares and authority of one incarnation of this VM.
+
+    Work that started under an earlier incarnation gives its reservation back
+    to that incarnation's ledger.
+    """
+
+    key: VmIncarnation
+    ledger: ShareLedger
+    support: SupportHolder
+    zone_support: ZoneSupport
+
+    def apply(self, view: ShareView, now: timedelta) -> None:
+        """Take a newer share view."""
+        self.support.apply(view)
+        self.zone_support.apply(view)
+        self.ledger.apply(view, now)
+
+
+def new_incarnation(
+    clock: Clock,
+    newest_known: Incarnation = _NONE_KNOWN,
+) -> Incarnation:
+    """Return an incarnation above every earlier one of this VM.
+
+    It is the time in milliseconds, unless the wall clock was set back.
+    """
+    since_epoch = timedelta(seconds=clock.wall().timestamp())
+    return Incarnation(max(since_epoch // _MILLISECOND, newest_known + 1))
+
+
+def open_holding(
+    vm: VmId,
+    incarnation: Incarnation,
+    clock: Clock,
+    timing: SupportTiming,
+) -> Holding:
+    """Start an incarnation without shares or authority."""
+    key = VmIncarnation(vm, incarnation)
+    support = SupportHolder(key, clock, timing)
+    return Holding(
+        key,
+        ShareLedger(key, support.has_authority),
+        support,
+        ZoneSupport(key),
+    )
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_services.py
@@ -0,0 +1,306 @@
+"""What this VM knows about each service: candidates, queue and budgets."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from plantainstand_catalogue import DrainSubjectKind, Service, Target
+from plantainstand_core import (
+    AvailabilityZoneId,
+    Clock,
+    RegionId,
+    ResourceId,
+    ServiceId,
+    VmId,
+)
+from plantainstand_protocol import Endpoint
+from plantainstand_shares import (
+    Claim,
+    GrowthLimit,
+    ShareLedger,
+    SlotRamp,
+    TargetPacer,
+    VmIncarnation,
+    VmRecord,
+)
+from plantainstand_steering import (
+    AdmissionQueue,
+    Candidate,
+    CandidateId,
+    CandidateKind,
+    HedgePolicy,
+    RetryBudget,
+    ServiceView,
+    TargetHealth,
+)
+
+from plantainstand_daemon._control_state import ControlView
+from plantainstand_daemon._demands import target_resource, zone_resource
+from plantainstand_daemon._dispatch import AttemptLimits, TargetAddress
+
+_EXPECTED_SERVICE_TIME = timedelta(milliseconds=50)
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where this VM is."""
+
+    vm: VmId
+    availability_zone: AvailabilityZoneId
+    region: RegionId
+
+
+@dataclass(frozen=True)
+class LocalTarget:
+    """A target that this VM owns slots of."""
+
+    target: Target
+    address: TargetAddress
+    claims: tuple[Claim, ...]
+    """What one request at the target takes of this VM's shares."""
+
+
+@dataclass(frozen=True)
+class PeerRoute:
+    """Another entry VM that owns slots of the service's targets."""
+
+    key: VmIncarnation
+    endpoint: Endpoint
+    region: RegionId
+
+
+@dataclass(frozen=True)
+class ServiceRuntime:
+    """State and routes of one service at this VM."""
+
+    service: Service
+    view: ServiceView
+    queue: AdmissionQueue
+    budget: RetryBudget
+    hedge: HedgePolicy
+    health: TargetHealth
+    targets: Mapping[CandidateId, LocalTarget]
+    peers: Mapping[CandidateId, PeerRoute]
+
+    @property
+    def limits(self) -> AttemptLimits:
+        """Bounds of an attempt at a target."""
+        return AttemptLimits(
+            self.service.limits.response_bytes,
+            self.service.idempotent,
+        )
+
+
+class ServiceTable:
+    """Runtimes of all services, replaced when the control state changes."""
+
+    def __init__(self, place: Place, clock: Clock) -> None:
+        """Start without services."""
+        self._place = place
+        self._clock = clock
+        self._runtimes: dict[ServiceId, ServiceRuntime] = {}
+        self._pacers: dict[ResourceId, TargetPacer] = {}
+
+    @property
+    def runtimes(self) -> Mapping[ServiceId, ServiceRuntime]:
+        """Runtime of each service."""
+        return self._runtimes
+
+    def apply(
+        self,
+        view: ControlView,
+        own: VmIncarnation,
+        ledger: ShareLedger,
+    ) -> None:
+        """Take a changed catalogue or share table; statistics are kept."""
+        self._runtimes = {
+            service.service_id: self._runtime(service, view, own)
+            for service in view.catalogue.services.values()
+        }
+        self._replace_pacers(view, own)
+        ledger.pace(self._pacers)
+
+    def _runtime(
+        self,
+        service: Service,
+        view: ControlView,
+        own: VmIncarnation,
+    ) -> ServiceRuntime:
+        targets = dict(_local_targets(service, view, own))
+        peers = dict(_peer_routes(service, view, own))
+        candidates = [
+            *self._target_candidates(targets, view, own),
+            *self._peer_candidates(service, peers, view),
+        ]
+        known = self._runtimes.get(service.service_id)
+        if known is None or known.service != service:
+            known = self._new_runtime(service)
+        known.view.replace_candidates(candidates)
+        known.health.replace_targets(
+            local.target.target_id for local in targets.values()
+        )
+        known.queue.resize(known.view.local_slots)
+        return ServiceRuntime(
+            service,
+            known.view,
+            known.queue,
+            known.budget,
+            known.hedge,
+            known.health,
+            targets,
+            peers,
+        )
+
+    def _new_runtime(self, service: Service) -> ServiceRuntime:
+        return ServiceRuntime(
+            service,
+            ServiceView((), self._clock),
+            AdmissionQueue(
+                service.limits.queue_length,
+                _EXPECTED_SERVICE_TIME,
+            ),
+            RetryBudget(service.retry.budget_ratio),
+            HedgePolicy(self._clock, service.hedge.percentile),
+            TargetHealth((), self._clock),
+            {},
+            {},
+        )
+
+    def _target_candidates(
+        self,
+        targets: Mapping[CandidateId, LocalTarget],
+        view: ControlView,
+        own: VmIncarnation,
+    ) -> Iterator[Candidate]:
+        shares = view.shares.by_vm.get(own, {})
+        for candidate_id, local in targets.items():
+            zone = local.target.availability_zone
+            yield Candidate(
+                candidate_id,
+                CandidateKind.TARGET,
+                zone,
+                self._round_trip(view, zone),
+                _EXPECTED_SERVICE_TIME,
+                int(shares[target_resource(local.target.target_id)].share),
+            )
+
+    def _peer_candidates(
+        self,
+        service: Service,
+        peers: Mapping[CandidateId, PeerRoute],
+        view: ControlView,
+    ) -> Iterator[Candidate]:
+        for candidate_id, route in peers.items():
+            record = view.shares.register.records[route.key]
+            yield Candidate(
+                candidate_id,
+                CandidateKind.VM,
+                record.availability_zone,
+                self._round_trip(view, record.availability_zone),
+                _EXPECTED_SERVICE_TIME,
+                owned_slots(service.service_id, view, route.key),
+            )
+
+    def _round_trip(
+        self,
+        view: ControlView,
+        zone: AvailabilityZoneId,
+    ) -> timedelta:
+        own_zone = self._place.availability_zone
+        delay_ms = view.catalogue.delay_ms(own_zone, zone) or 0
+        return 2 * delay_ms * _MILLISECOND
+
+    def _replace_pacers(self, view: ControlView, own: VmIncarnation) -> None:
+        shares = view.shares.by_vm.get(own, {})
+        known = self._pacers
+        self._pacers = {}
+        for target in view.catalogue.targets.values():
+            resource = target_resource(target.target_id)
+            if resource in shares and target.limits.slots:
+                part = shares[resource].share / target.limits.slots
+                service = view.catalogue.services[target.service]
+                cap = service.shift.target_slots_per_second
+                pacer = known.get(resource) or _new_pacer(service)
+                pacer.resize_growth(cap * part)
+                self._pacers[resource] = pacer
+
+
+def owned_slots(
+    service: ServiceId,
+    view: ControlView,
+    key: VmIncarnation,
+) -> int:
+    """Return the slots of a service's targets that a VM owns."""
+    shares = view.shares.by_vm.get(key, {})
+    resources = (
+        target_resource(target.target_id)
+        for target in view.catalogue.targets_of_service(service)
+    )
+    return sum(
+        int(shares[resource].share)
+        for resource in resources
+        if resource in shares
+    )
+
+
+def _new_pacer(service: Service) -> TargetPacer:
+    ramp = SlotRamp(
+        timedelta(milliseconds=service.warm_up.duration_ms),
+        service.warm_up.initial_fraction,
+    )
+    return TargetPacer(
+        ramp,
+        GrowthLimit(service.shift.target_slots_per_second),
+    )
+
+
+def _local_targets(
+    service: Service,
+    view: ControlView,
+    own: VmIncarnation,
+) -> Iterator[tuple[CandidateId, LocalTarget]]:
+    shares = view.shares.by_vm.get(own, {})
+    for target in view.catalogue.targets_of_service(service.service_id):
+        resource = target_resource(target.target_id)
+        share = shares.get(resource)
+        if share is None or not share.share or _is_draining(view, target):
+            continue
+        claims = (
+            Claim(resource),
+            Claim(zone_resource(target.availability_zone)),
+        )
+        address = TargetAddress(
+            target.target_id,
+            target.host,
+            target.port,
+            min(int(share.share), target.limits.connections),
+        )
+        yield (
+            CandidateId(f'target/{target.id}'),
+            LocalTarget(target, address, claims),
+        )
+
+
+def _is_draining(view: ControlView, target: Target) -> bool:
+    return view.catalogue.is_draining(DrainSubjectKind.TARGET, target.id)
+
+
+def _peer_routes(
+    service: Service,
+    view: ControlView,
+    own: VmIncarnation,
+) -> Iterator[tuple[CandidateId, PeerRoute]]:
+    for record in view.shares.register.newest.values():
+        if record.vm == own.vm or not record.may_get_shares:
+            continue
+        if owned_slots(service.service_id, view, record.key):
+            yield CandidateId(f'vm/{record.vm}'), _route(record)
+
+
+def _route(record: VmRecord) -> PeerRoute:
+    return PeerRoute(
+        record.key,
+        Endpoint(record.host, record.rpc_port),
+        record.region,
+    )
--- a/libraries/shares/plantainstand_shares/_pacing.py
+++ b/libraries/shares/plantainstand_shares/_pacing.py
@@ -48,6 +48,11 @@
         self._period_start = timedelta.min
         self._updated_at: timedelta | None = None
 
+    def resize(self, slots_per_second: float) -> None:
+        """Follow a changed part of the cap; what has grown stays usable."""
+        self._rate = slots_per_second / 2
+        self._headroom = max(1, slots_per_second / 2)
+
     def usable(self, in_use: int, now: timedelta) -> int:
         """Return how many slots may be in use at ``now``."""
         if self._updated_at is None:
@@ -77,6 +82,11 @@
         self._growth = growth
         self._started_at: timedelta | None = None
 
+    def resize_growth(self, slots_per_second: float) -> None:
+        """Follow a changed part of the growth cap."""
+        if self._growth is not None:
+            self._growth.resize(slots_per_second)
+
     def usable(self, share: int, in_use: int, now: timedelta) -> int:
         """Return how many slots may be in use at ``now``."""
         if self._started_at is None:
