Add the replicated log: protocol core and the LogReplica task

Control state needs one order that survives the loss of a disk. The core is a pure object that returns effects; LogReplica owns storage and timing and writes in a thread, so that a slow sync does not hold up heartbeats.

Founding ids that can be derived from the VM id were ruled out: a founder whose disk is formatted again would vote with its old id. Instead one VM founds, after all others have said that they hold no data, and the others join like repaired disks.

--- /dev/null
+++ b/libraries/consensus/plantainstand_consensus/_log.py
@@ -0,0 +1,141 @@
+"""The log in memory, from the last compaction on."""
+
+from collections.abc import Sequence
+
+from plantainstand_consensus._entries import Configuration, Entry, Snapshot
+
+_NO_VOTERS = Configuration((), (), formed=False)
+
+
+class Log:
+    """Entries after ``base_index``, and the newest snapshot."""
+
+    def __init__(
+        self,
+        snapshot: Snapshot | None = None,
+        entries: Sequence[Entry] = (),
+    ):
+        """Continue from stored state.
+
+        Entries may start at or before the snapshot's index, without a gap.
+        """
+        self.snapshot = snapshot
+        self.base_index = 0
+        self.base_term = 0
+        self._entries = list(entries)
+        self._configurations: list[tuple[int, Configuration]] = []
+        if snapshot is not None:
+            self._configurations.append(
+                (snapshot.index, snapshot.configuration),
+            )
+            self.base_index = snapshot.index
+            self.base_term = snapshot.term
+        if entries and entries[0].index <= self.base_index:
+            self._start_at_first_entry()
+        for entry in self._entries:
+            self._note_configuration(entry)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the newest entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def configuration(self) -> Configuration:
+        """Voter set in force: the newest one, committed or not."""
+        return self.configuration_at(self.last_index)
+
+    @property
+    def configuration_index(self) -> int:
+        """Index of the entry that holds the newest voter set."""
+        return self._configurations[-1][0] if self._configurations else 0
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether there has never been an entry."""
+        return self.last_index == 0
+
+    def configuration_at(self, index: int) -> Configuration:
+        """Return the voter set in force at an index."""
+        for position, configuration in reversed(self._configurations):
+            if position <= index:
+                return configuration
+        return _NO_VOTERS
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; None if compacted or not there."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def entries(
+        self,
+        first: int,
+        max_entries: int,
+        max_bytes: int | None = None,
+    ) -> tuple[Entry, ...]:
+        """Return entries from ``first`` on, at least one if there is one."""
+        start = first - self.base_index - 1
+        chosen = self._entries[start : start + max_entries]
+        if max_bytes is None:
+            return tuple(chosen)
+        size = 0
+        for count, entry in enumerate(chosen):
+            size += entry.size
+            if size > max_bytes and count:
+                return tuple(chosen[:count])
+        return tuple(chosen)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries that follow the newest one."""
+        self._entries.extend(entries)
+        for entry in entries:
+            self._note_configuration(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entries from ``index`` on; older voter sets return."""
+        self._entries = self._entries[: index - self.base_index - 1]
+        self._configurations = [
+            noted for noted in self._configurations if noted[0] < index
+        ]
+
+    def compact(self, snapshot: Snapshot, base_index: int) -> None:
+        """Take a snapshot into use and drop entries through ``base_index``."""
+        term = self.term_at(base_index)
+        if term is not None:
+            self._entries = self._entries[base_index - self.base_index :]
+            self.base_index = base_index
+            self.base_term = term
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self.snapshot = snapshot
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self._entries = []
+        self._configurations = [(snapshot.index, snapshot.configuration)]
+
+    def _start_at_first_entry(self) -> None:
+        first = self._entries[0]
+        if first.index == 1:
+            self.base_index = 0
+            self.base_term = 0
+            return
+        # The term before the first kept entry is unknown, so the first entry
+        # itself becomes the base.
+        self.base_index = first.index
+        self.base_term = first.term
+        self._entries.pop(0)
+
+    def _note_configuration(self, entry: Entry) -> None:
+        if isinstance(entry.body, Configuration):
+            if entry.index > self.configuration_index:
+                self._configurations.append((entry.index, entry.body))
--- /dev/null
+++ b/libraries/consensus/plantainstand_consensus/_opening.py
@@ -0,0 +1,272 @@
+"""Formatting and opening the data folder of a voter."""
+
+import random
+from collections.abc import Sequence
+from pathlib import Path
+
+from plantainstand_core import DiskId, LogIndex, VmId
+from plantainstand_storage import (
+    FileSystem,
+    Identity,
+    IdentityFile,
+    Journal,
+    LocalFileSystem,
+    SnapshotStore,
+    StorageProblem,
+    StorageProblemKind,
+    ValueFile,
+)
+from result import Err, Ok, Result, do
+
+from plantainstand_consensus._entries import (
+    Entry,
+    HardState,
+    Snapshot,
+    decode_entry,
+    decode_hard_state,
+    decode_snapshot,
+    encode,
+)
+from plantainstand_consensus._log import Log
+from plantainstand_consensus._storage import (
+    StoredState,
+    VoterFiles,
+    VoterStorage,
+)
+
+_DISK_ID_BITS = 128
+
+
+def format_voter(
+    folder: Path,
+    vm: VmId,
+    members: Sequence[VmId],
+    *,
+    file_system: FileSystem | None = None,
+    random_source: random.Random | None = None,
+) -> Result[Identity, StorageProblem]:
+    """Prepare an empty folder for a new cluster of ``members``.
+
+    The first member founds the cluster once it has heard that no other
+    member has data; the others are added by it. A folder that has an
+    identity is a ``NOT_EMPTY`` problem.
+    """
+    opener = _Opener(folder, vm, file_system, random_source)
+    return opener.load_identity().and_then(
+        lambda known: opener.found(known, tuple(members)),
+    )
+
+
+def open_voter(
+    folder: Path,
+    vm: VmId,
+    *,
+    file_system: FileSystem | None = None,
+    random_source: random.Random | None = None,
+) -> Result[VoterStorage, StorageProblem]:
+    """Open a folder; an empty one gets a new disk id.
+
+    A voter with a new disk id has no vote. It is caught up and added by the
+    leader. Damage is a ``CORRUPT`` problem: the voter must not run on this
+    folder, and is repaired by starting it on an empty one.
+    """
+    opener = _Opener(folder, vm, file_system, random_source)
+    adopted = opener.load_identity().and_then(opener.adopt)
+    return do(
+        _load(files, identity)
+        for identity in adopted
+        for files in opener.open_files(create=False)
+    )
+
+
+class _Opener:
+    def __init__(
+        self,
+        folder: Path,
+        vm: VmId,
+        file_system: FileSystem | None,
+        random_source: random.Random | None,
+    ):
+        self._folder = folder
+        self._vm = vm
+        self._file_system = file_system or LocalFileSystem()
+        self._random_source = random_source or random.SystemRandom()
+        self._identity_file = IdentityFile(
+            folder / 'identity',
+            self._file_system,
+        )
+
+    def load_identity(self) -> Result[Identity | None, StorageProblem]:
+        return self._identity_file.load()
+
+    def found(
+        self,
+        known: Identity | None,
+        members: tuple[VmId, ...],
+    ) -> Result[Identity, StorageProblem]:
+        if known is None:
+            return self._create(members)
+        kind = StorageProblemKind.NOT_EMPTY
+        return _refused(self._folder, kind, 'already belongs to a voter')
+
+    def adopt(
+        self,
+        known: Identity | None,
+    ) -> Result[Identity, StorageProblem]:
+        if known is None:
+            return self._create(())
+        if known.vm != self._vm:
+            kind = StorageProblemKind.NOT_EMPTY
+            return _refused(self._folder, kind, f'belongs to VM {known.vm}')
+        return Ok(known)
+
+    def open_files(
+        self,
+        *,
+        create: bool,
+    ) -> Result[VoterFiles, StorageProblem]:
+        folder = self._folder
+        opened = Journal.open(
+            folder / 'journal',
+            self._file_system,
+            create=create,
+        )
+        return opened.map(
+            lambda journal: VoterFiles(
+                folder,
+                ValueFile(folder / 'term-and-vote', self._file_system),
+                SnapshotStore(folder / 'snapshots', self._file_system),
+                journal,
+            ),
+        )
+
+    def _create(
+        self,
+        members: tuple[VmId, ...],
+    ) -> Result[Identity, StorageProblem]:
+        number = self._random_source.getrandbits(_DISK_ID_BITS)
+        identity = Identity(self._vm, DiskId(f'{number:032x}'), members)
+        # The identity is last: where it is, the other files must be.
+        prepared = self.open_files(create=True).and_then(_prepare_unused)
+        return prepared.and_then(
+            lambda _none: self._identity_file.store(identity),
+        ).map(lambda _none: identity)
+
+
+def _prepare_unused(files: VoterFiles) -> Result[None, StorageProblem]:
+    last_index = files.journal.last_index
+    files.journal.close()
+    if last_index:
+        return _refused(
+            files.folder,
+            StorageProblemKind.CORRUPT,
+            'the journal has entries, but the identity file is missing',
+        )
+    return files.hard_state.store(encode(HardState()))
+
+
+def _load(
+    files: VoterFiles,
+    identity: Identity,
+) -> Result[VoterStorage, StorageProblem]:
+    log = _load_snapshot(files).and_then(
+        lambda snapshot: _load_log(files, snapshot),
+    )
+    state = do(
+        _check_terms(files, StoredState(identity, hard_state, joined))
+        for hard_state in _load_hard_state(files)
+        for joined in log
+    )
+    return state.map(lambda checked: VoterStorage(files, checked))
+
+
+def _load_hard_state(files: VoterFiles) -> Result[HardState, StorageProblem]:
+    stored = files.hard_state.load()
+    if isinstance(stored, Err):
+        return stored
+    if stored.ok_value is None:
+        return _refused(
+            files.folder,
+            StorageProblemKind.CORRUPT,
+            'term and vote are missing',
+        )
+    return Ok(decode_hard_state(stored.ok_value))
+
+
+def _load_snapshot(
+    files: VoterFiles,
+) -> Result[Snapshot | None, StorageProblem]:
+    return files.snapshots.newest().map(
+        lambda stored: decode_snapshot(stored.payload) if stored else None,
+    )
+
+
+def _load_log(
+    files: VoterFiles,
+    snapshot: Snapshot | None,
+) -> Result[Log, StorageProblem]:
+    journal = files.journal
+    loaded = _read_all(journal)
+    if isinstance(loaded, Err):
+        return loaded
+    entries = loaded.ok_value
+    snapshot_index = snapshot.index if snapshot else 0
+    if journal.first_index > snapshot_index + 1:
+        return _refused(
+            files.folder,
+            StorageProblemKind.CORRUPT,
+            f'entries after {snapshot_index} are missing',
+        )
+    if snapshot is None or _agrees(snapshot, journal, entries):
+        return Ok(Log(snapshot, entries))
+    # A crash came between storing a received snapshot and dropping the log
+    # that it replaces.
+    return (
+        journal.truncate_from(journal.first_index)
+        .and_then(
+            lambda _none: journal.discard_through(LogIndex(snapshot_index)),
+        )
+        .map(lambda _none: Log(snapshot))
+    )
+
+
+def _read_all(journal: Journal) -> Result[Sequence[Entry], StorageProblem]:
+    entries: list[Entry] = []
+    for index in range(journal.first_index, journal.last_index + 1):
+        record = journal.read(LogIndex(index))
+        if isinstance(record, Err):
+            return record
+        entries.append(decode_entry(record.ok_value))
+    return Ok(entries)
+
+
+def _agrees(
+    snapshot: Snapshot,
+    journal: Journal,
+    entries: Sequence[Entry],
+) -> bool:
+    position = snapshot.index - journal.first_index
+    if position < 0:
+        return True
+    return position < len(entries) and entries[position].term == snapshot.term
+
+
+def _check_terms(
+    files: VoterFiles,
+    state: StoredState,
+) -> Result[StoredState, StorageProblem]:
+    if state.log.last_term > state.hard_state.term:
+        return _refused(
+            files.folder,
+            StorageProblemKind.CORRUPT,
+            'the stored term is older than the newest entry',
+        )
+    return Ok(state)
+
+
+def _refused(
+    folder: Path,
+    kind: StorageProblemKind,
+    message: str,
+) -> Err[StorageProblem]:
+    return Err(StorageProblem(kind, folder, message))
--- /dev/null
+++ b/libraries/consensus/plantainstand_consensus/_writer.py
@@ -0,0 +1,51 @@
+"""Writing batches to disk without holding up the event loop."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from plantainstand_storage import StorageProblem
+from result import Err, Result
+
+from plantainstand_consensus._effects import Effects
+from plantainstand_consensus._interfaces import RunBlocking
+from plantainstand_consensus._storage import VoterStorage
+
+
+class Writer:
+    """Writes batches in order; those that wait share one sync."""
+
+    def __init__(self, storage: VoterStorage, run_blocking: RunBlocking):
+        """Write to ``storage`` by means of ``run_blocking``."""
+        self._storage = storage
+        self._run_blocking = run_blocking
+        self._queue: list[Effects] = []
+        self._filled = asyncio.Event()
+        self.problem: StorageProblem | None = None
+        """Why writing ended."""
+
+    def add(self, batch: Effects) -> None:
+        """Queue a batch."""
+        self._queue.append(batch)
+        self._filled.set()
+
+    async def run(
+        self, on_written: Callable[[Sequence[Effects]], None]
+    ) -> None:
+        """Write until the disk fails; report what has become durable."""
+        while self.problem is None:
+            await self._filled.wait()
+            self._filled.clear()
+            batches = self._queue
+            self._queue = []
+            self.problem = await self._write(batches)
+            if self.problem is None:
+                on_written(batches)
+
+    async def _write(self, batches: Sequence[Effects]) -> StorageProblem | None:
+        writes = [write for batch in batches for write in batch.writes]
+        outcomes: list[Result[None, StorageProblem]] = []
+        await self._run_blocking(
+            lambda: outcomes.append(self._storage.perform(writes)),
+        )
+        outcome = outcomes[0]
+        return outcome.err_value if isinstance(outcome, Err) else None
--- a/libraries/storage/plantainstand_storage/_journal.py
+++ b/libraries/storage/plantainstand_storage/_journal.py
@@ -9,6 +9,7 @@
 
 from plantainstand_storage._file_system import FileSystem, LocalFileSystem
 from plantainstand_storage._problems import (
+    CorruptionError,
     StorageProblem,
     StorageProblemKind,
     catching,
@@ -68,14 +69,20 @@
         folder: Path,
         file_system: FileSystem | None = None,
         segment_bytes: int = SEGMENT_BYTES,
+        *,
+        create: bool = True,
     ) -> 'Result[Journal, StorageProblem]':
         """Check every record of ``folder``; create the folder if missing.
 
+        Without ``create`` an empty or missing folder is a ``CORRUPT`` problem.
         A torn tail of the newest segment is cut and reported as
         :attr:`torn_tail`; other damage is a ``CORRUPT`` problem.
         """
         files = file_system or LocalFileSystem()
-        return catching(folder, lambda: _recover_or_create(files, folder)).map(
+        return catching(
+            folder,
+            lambda: _recover_or_create(files, folder, create=create),
+        ).map(
             lambda recovered: cls(files, folder, recovered, segment_bytes),
         )
 
@@ -208,10 +215,17 @@
             self._segments.pop(0).remove()
 
 
-def _recover_or_create(file_system: FileSystem, folder: Path) -> Recovered:
+def _recover_or_create(
+    file_system: FileSystem,
+    folder: Path,
+    *,
+    create: bool,
+) -> Recovered:
     file_system.make_folder(folder)
     recovered = recover(file_system, folder)
     if not recovered.segments:
+        if not create:
+            raise CorruptionError(folder, 'the journal is missing')
         segment = Segment.create(
             file_system,
             folder,
