--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_admission.py
@@ -0,0 +1,203 @@
+"""Slots of this VM's targets, given to requests in order."""
+
+import asyncio
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from itertools import count
+from random import Random
+
+from plantainstand_core import Clock, RequestId, ServiceId
+from plantainstand_shares import Reservation, ShareLedger
+from plantainstand_steering import (
+    Admission,
+    AdmissionScheduler,
+    Attempt,
+    AttemptResult,
+    CandidateId,
+    CandidateKind,
+    QueuedRequest,
+    RankedCandidate,
+    Refused,
+    ShedReason,
+    Started,
+    rank_candidates,
+)
+
+from plantainstand_daemon._holding import Holding
+from plantainstand_daemon._messages import SteeredRequest
+from plantainstand_daemon._services import LocalTarget, ServiceRuntime
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A slot of a target, held for one attempt."""
+
+    local: LocalTarget
+    ledger: ShareLedger
+    holding: Holding
+    reservation: Reservation
+    attempt: Attempt
+    runtime: ServiceRuntime
+
+
+@dataclass(frozen=True)
+class _Waiter:
+    future: asyncio.Future[Grant | ShedReason]
+    excluded: frozenset[CandidateId]
+
+
+class SlotAdmission:
+    """Queues and shares of this VM; owned by the event loop."""
+
+    def __init__(self, clock: Clock, random_source: Random) -> None:
+        """Start without services; :meth:`apply` brings them."""
+        self._clock = clock
+        self._random = random_source
+        self._numbers = count()
+        self._waiters: dict[RequestId, _Waiter] = {}
+        self._runtimes: Mapping[ServiceId, ServiceRuntime] = {}
+        self._holding: Holding | None = None
+        self._scheduler: AdmissionScheduler[Grant] = AdmissionScheduler(
+            {},
+            self._reserve,
+            clock,
+        )
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queues."""
+        return len(self._waiters)
+
+    def apply(
+        self,
+        runtimes: Mapping[ServiceId, ServiceRuntime],
+        holding: Holding,
+    ) -> None:
+        """Take a changed set of services, targets or shares."""
+        self._runtimes = runtimes
+        self._holding = holding
+        queues = {
+            service: runtime.queue for service, runtime in runtimes.items()
+        }
+        self._settle(self._scheduler.replace_queues(queues))
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Start or refuse waiting requests after time or limits changed."""
+        self._settle(self._scheduler.capacity_freed())
+
+    async def admit(
+        self,
+        request: SteeredRequest,
+        excluded: frozenset[CandidateId],
+    ) -> Grant | ShedReason:
+        """Wait for a slot; the grant must be released once."""
+        # Resends and hedges of one request can wait here at the same time.
+        queue_id = RequestId(f'{request.request_id}/{next(self._numbers)}')
+        runtime = self._runtimes.get(request.service)
+        if runtime is None:
+            return ShedReason.NO_SLOTS
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[queue_id] = _Waiter(future, excluded)
+        queued = QueuedRequest(
+            queue_id,
+            request.service,
+            runtime.service.traffic_class,
+            request.deadline,
+        )
+        self._settle(self._scheduler.submit(queued))
+        try:
+            admitted: Grant | ShedReason = await future
+        except asyncio.CancelledError:
+            self._withdraw(queued, future)
+            raise
+        finally:
+            self._waiters.pop(queue_id, None)
+        return admitted
+
+    def release(self, grant: Grant, result: AttemptResult) -> None:
+        """Give a slot back and hand it to the next request."""
+        now = self._clock.monotonic()
+        grant.ledger.release(grant.reservation, now)
+        grant.runtime.view.finish(grant.attempt, result)
+        if result is AttemptResult.ANSWERED:
+            held = now - grant.attempt.started_at
+            grant.runtime.queue.record_service_time(held)
+        self.refresh()
+
+    def _withdraw(
+        self,
+        queued: QueuedRequest,
+        future: asyncio.Future[Grant | ShedReason],
+    ) -> None:
+        self._scheduler.cancel(queued.service, queued.request_id)
+        if future.done() and not future.cancelled():
+            admitted = future.result()
+            if isinstance(admitted, Grant):
+                self.release(admitted, AttemptResult.CANCELLED)
+
+    def _settle(
+        self,
+        admissions: Iterable[Admission[Grant]],
+    ) -> None:
+        for admission in admissions:
+            waiter = self._waiters.get(admission.request.request_id)
+            if waiter is None or waiter.future.done():
+                if isinstance(admission, Started):
+                    self.release(admission.grant, AttemptResult.CANCELLED)
+            elif isinstance(admission, Refused):
+                waiter.future.set_result(admission.reason)
+            else:
+                waiter.future.set_result(admission.grant)
+
+    def _reserve(self, queued: QueuedRequest) -> Grant | None:
+        runtime = self._runtimes.get(queued.service)
+        holding = self._holding
+        if runtime is None or holding is None:
+            return None
+        waiter = self._waiters.get(queued.request_id)
+        excluded = waiter.excluded if waiter else frozenset()
+        now = self._clock.monotonic()
+        for local in _ranked_targets(runtime, self._random, excluded):
+            reserved = holding.ledger.reserve(local.claims, now)
+            if reserved.is_ok():
+                return Grant(
+                    local,
+                    holding.ledger,
+                    holding,
+                    reserved.unwrap(),
+                    runtime.view.start(_candidate_id(local)),
+                    runtime,
+                )
+        return None
+
+
+def _candidate_id(local: LocalTarget) -> CandidateId:
+    return CandidateId(f'target/{local.target.id}')
+
+
+def _ranked_targets(
+    runtime: ServiceRuntime,
+    random_source: Random,
+    excluded: frozenset[CandidateId],
+) -> Sequence[LocalTarget]:
+    ranked = rank_candidates(
+        runtime.view,
+        random_source,
+        excluded=excluded.union(runtime.peers),
+        limit=max(len(runtime.targets), 1),
+    )
+    return [
+        runtime.targets[place.candidate.candidate_id]
+        for place in ranked
+        if _is_free_target(place, runtime)
+    ]
+
+
+def _is_free_target(place: RankedCandidate, runtime: ServiceRuntime) -> bool:
+    candidate = place.candidate
+    return (
+        candidate.kind is CandidateKind.TARGET
+        and place.has_free_slot
+        and candidate.candidate_id in runtime.targets
+    )
--- a/libraries/daemon/plantainstand_daemon/_control_client.py
+++ b/libraries/daemon/plantainstand_daemon/_control_client.py
@@ -1,10 +1,12 @@
 """Calls to the leader of the replicated log, whoever that is."""
 
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import TypeVar
 
+from grpclib.client import Channel
 from plantainstand_core import Clock, VmId
 from plantainstand_protocol import (
     CallFailure,
@@ -16,8 +18,12 @@
 from plantainstand_protocol.steering_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
+    LookUpRecordReply,
+    LookUpRecordRequest,
     ProposeReply,
     ProposeRequest,
+    ReportReply,
+    ReportRequest,
 )
 from result import Err, Ok, Result
 
@@ -28,8 +34,11 @@
 # longer silence is more likely a lost call than a slow one.
 _ATTEMPT_TIMEOUT = timedelta(milliseconds=1500)
 _HEARTBEAT_TIMEOUT = timedelta(milliseconds=1500)
+_READ_ATTEMPTS = 8
 _RETRY_PAUSE = timedelta(milliseconds=50)
 
+ReadReplyT = TypeVar('ReadReplyT', LookUpRecordReply, ReportReply)
+
 
 class ControlFailure(Enum):
     """Why a command has no outcome."""
@@ -124,6 +133,48 @@
             self._note_leader(asked, VmId(''))
         return called
 
+    async def look_up_record(
+        self,
+        request_id: str,
+    ) -> Result[bytes, ControlProblem]:
+        """Read the record of a non-idempotent request at the leader."""
+        request = LookUpRecordRequest(request_id=request_id)
+        reply = await self._ask_leader(
+            lambda channel: ControlStub(channel).LookUpRecord(request),
+        )
+        if isinstance(reply, Err):
+            return reply
+        return Ok(reply.ok_value.outcome)
+
+    async def report(self) -> Result[ReportReply, ControlProblem]:
+        """Ask the leader how far each entry VM has come."""
+        return await self._ask_leader(
+            lambda channel: ControlStub(channel).Report(ReportRequest()),
+        )
+
+    async def _ask_leader(
+        self,
+        method: Callable[[Channel], Awaitable[ReadReplyT]],
+    ) -> Result[ReadReplyT, ControlProblem]:
+        message = 'no voter was asked'
+        for _ in range(_READ_ATTEMPTS):
+            asked = self._guess
+            called = await self._channels.call(
+                self._endpoint(),
+                method,
+                _ATTEMPT_TIMEOUT,
+            )
+            if isinstance(called, Err):
+                message = str(called.err_value)
+                self._note_leader(asked, VmId(''))
+                continue
+            if called.ok_value.status == ReportReply.OK:
+                return Ok(called.ok_value)
+            message = f'voter {asked} does not lead'
+            self._note_leader(asked, VmId(called.ok_value.leader))
+            await pause(_RETRY_PAUSE)
+        return Err(ControlProblem(ControlFailure.NOT_PROPOSED, message))
+
     async def _propose_once(
         self,
         command: bytes,
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_control_service.py
@@ -0,0 +1,344 @@
+"""gRPC services of a voter: consensus messages and control state."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from datetime import timedelta
+
+from grpclib.server import Stream
+from plantainstand_consensus import (
+    CommittedEntry,
+    LogReplica,
+    NotLeader,
+    Overloaded,
+    ProposeProblem,
+    Role,
+    SnapshotItem,
+    Stopped,
+    StorageFailed,
+    Subscription,
+    decode_message,
+)
+from plantainstand_core import (
+    Incarnation,
+    LogIndex,
+    RequestId,
+    ResourceId,
+    VmId,
+)
+from plantainstand_protocol.steering_grpc import ConsensusBase, ControlBase
+from plantainstand_protocol.steering_pb2 import (
+    ConsensusEnvelope,
+    Empty,
+    FollowCommand,
+    FollowEntries,
+    FollowItem,
+    FollowKeepAlive,
+    FollowRequest,
+    FollowSnapshot,
+    HeartbeatReply,
+    HeartbeatRequest,
+    LookUpRecordReply,
+    LookUpRecordRequest,
+    ProposeReply,
+    ProposeRequest,
+    ReportReply,
+    ReportRequest,
+    VmReport,
+)
+from plantainstand_protocol.steering_pb2 import (
+    VmIncarnation as WireVm,
+)
+from plantainstand_records import decode_command as decode_record_command
+from plantainstand_records import encode_command as encode_record_command
+from plantainstand_records import encode_outcome, stamp_command
+from plantainstand_shares import (
+    Heartbeat,
+    HeartbeatStatus,
+    ReleasedShare,
+    VmIncarnation,
+)
+from result import Err, Ok
+
+from plantainstand_daemon._control_state import (
+    CommandKind,
+    ControlState,
+    command_kind,
+    wrap_command,
+)
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._leader import Leader
+
+_PROPOSE_TIMEOUT = timedelta(seconds=1.4)
+_READ_TIMEOUT = timedelta(seconds=1)
+_KEEP_ALIVE = timedelta(milliseconds=500)
+# A follower further behind than this gets a snapshot, which costs less than
+# the entries, most of which are request records.
+_MAX_TAIL_ENTRIES = 4096
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class ConsensusService(ConsensusBase):
+    """Takes messages of the other voters."""
+
+    def __init__(self, replica: LogReplica) -> None:
+        """Hand messages to ``replica``."""
+        self._replica = replica
+
+    async def Deliver(  # noqa: N802
+        self,
+        stream: Stream[ConsensusEnvelope, Empty],
+    ) -> None:
+        """Take one message; an unreadable one is dropped like a lost one."""
+        envelope = await stream.recv_message()
+        if envelope is not None:
+            message = decode_message(envelope.payload)
+            if isinstance(message, Ok):
+                source = VmId(envelope.source)
+                self._replica.deliver(source, message.ok_value)
+        await stream.send_message(Empty())
+
+
+class ControlService(ControlBase):
+    """Takes commands, gives support and lets others follow the log."""
+
+    def __init__(
+        self,
+        replica: LogReplica,
+        state: ControlState,
+        leader: Leader,
+        instruments: Instruments,
+    ) -> None:
+        """Serve the control state of ``replica``."""
+        self._replica = replica
+        self._state = state
+        self._leader = leader
+        self._clock = instruments.clock
+
+    async def Propose(  # noqa: N802
+        self,
+        stream: Stream[ProposeRequest, ProposeReply],
+    ) -> None:
+        """Commit one command and return its outcome."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        proposed = await self._replica.propose(
+            self._stamp(request.command),
+            _PROPOSE_TIMEOUT,
+        )
+        if isinstance(proposed, Ok):
+            reply = ProposeReply(outcome=proposed.ok_value)
+        else:
+            reply = _refusal(proposed.err_value)
+        await stream.send_message(reply)
+
+    async def Follow(  # noqa: N802
+        self,
+        stream: Stream[FollowRequest, FollowItem],
+    ) -> None:
+        """Send the control state and then every change, without records."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        position = LogIndex(request.after_index)
+        behind = self._state.index - position
+        if behind > _MAX_TAIL_ENTRIES or position == 0:
+            position = self._state.index
+            await stream.send_message(self._snapshot_item())
+        subscription = self._replica.subscribe(position)
+        async for item in self._items(subscription):
+            await stream.send_message(item)
+
+    async def Heartbeat(  # noqa: N802
+        self,
+        stream: Stream[HeartbeatRequest, HeartbeatReply],
+    ) -> None:
+        """Give or refuse support to an entry VM."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        status = self._replica.status()
+        if status.role is Role.LEADER:
+            reply = self._heartbeat(request, status.commit_index)
+        else:
+            reply = HeartbeatReply(
+                status=HeartbeatReply.NOT_LEADER,
+                leader=status.leader or '',
+            )
+        await stream.send_message(reply)
+
+    async def Report(  # noqa: N802
+        self,
+        stream: Stream[ReportRequest, ReportReply],
+    ) -> None:
+        """Tell how far each entry VM has come."""
+        await stream.recv_message()
+        status = self._replica.status()
+        reply = ReportReply(leader=status.leader or '', term=status.term)
+        if status.role is not Role.LEADER:
+            reply.status = ReportReply.NOT_LEADER
+        elif not (status.has_quorum_contact and self._leader.is_active):
+            reply.status = ReportReply.NO_QUORUM
+        reply.commit_index = status.commit_index
+        reply.voters.extend(node.vm for node in status.voters)
+        reply.vms.extend(self._vm_reports())
+        await stream.send_message(reply)
+
+    async def LookUpRecord(  # noqa: N802
+        self,
+        stream: Stream[LookUpRecordRequest, LookUpRecordReply],
+    ) -> None:
+        """Read a request record after a read barrier."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        barrier = await self._replica.read_barrier(_READ_TIMEOUT)
+        if isinstance(barrier, Err):
+            problem = barrier.err_value
+            reply = LookUpRecordReply(status=ReportReply.NO_QUORUM)
+            if isinstance(problem, NotLeader):
+                reply.status = ReportReply.NOT_LEADER
+                reply.leader = problem.leader or ''
+        else:
+            found = self._state.records.lookup(RequestId(request.request_id))
+            reply = LookUpRecordReply(outcome=encode_outcome(found))
+        await stream.send_message(reply)
+
+    def _stamp(self, command: bytes) -> bytes:
+        if command_kind(command) is not CommandKind.RECORDS:
+            return command
+        decoded = decode_record_command(command[1:])
+        if isinstance(decoded, Err):
+            return command
+        stamped = stamp_command(decoded.ok_value, self._clock.wall())
+        return wrap_command(
+            CommandKind.RECORDS,
+            encode_record_command(stamped),
+        )
+
+    def _heartbeat(
+        self,
+        request: HeartbeatRequest,
+        commit_index: LogIndex,
+    ) -> HeartbeatReply:
+        answer = self._leader.answer(
+            decode_heartbeat(request),
+            request.in_flight,
+        )
+        statuses = {
+            HeartbeatStatus.SUPPORTED: HeartbeatReply.SUPPORTED,
+            HeartbeatStatus.NO_QUORUM: HeartbeatReply.NO_QUORUM,
+            HeartbeatStatus.UNKNOWN_INCARNATION: (
+                HeartbeatReply.UNKNOWN_INCARNATION
+            ),
+        }
+        return HeartbeatReply(
+            status=statuses[answer.status],
+            commit_index=commit_index,
+            revoke=[encode_vm(key) for key in answer.revoke],
+        )
+
+    def _vm_reports(self) -> list[VmReport]:
+        now = self._clock.monotonic()
+        return [
+            VmReport(
+                vm=encode_vm(key),
+                applied_index=progress.applied_index,
+                heartbeat_age_ms=(now - progress.heard_at) // _MILLISECOND,
+                in_flight=progress.in_flight,
+            )
+            for key, progress in self._leader.progress.items()
+        ]
+
+    def _snapshot_item(self) -> FollowItem:
+        return FollowItem(
+            snapshot=FollowSnapshot(
+                index=self._state.index,
+                state=self._state.follower_snapshot(),
+            ),
+        )
+
+    async def _items(
+        self,
+        subscription: Subscription,
+    ) -> AsyncIterator[FollowItem]:
+        while True:  # noqa: WPS457
+            waiting = asyncio.ensure_future(anext(subscription))
+            while not waiting.done():
+                await asyncio.wait(
+                    (waiting,),
+                    timeout=_KEEP_ALIVE.total_seconds(),
+                )
+                if not waiting.done():
+                    yield self._keep_alive()
+            try:
+                item = waiting.result()
+            except StopAsyncIteration:
+                return
+            if isinstance(item, SnapshotItem):
+                yield self._snapshot_item()
+            else:
+                yield _entries_item(item.entries, item.through)
+
+    def _keep_alive(self) -> FollowItem:
+        index = self._replica.status().commit_index
+        return FollowItem(keep_alive=FollowKeepAlive(commit_index=index))
+
+
+def encode_vm(key: VmIncarnation) -> WireVm:
+    """Build the message form of an incarnation."""
+    return WireVm(vm=key.vm, incarnation=key.incarnation)
+
+
+def decode_vm(message: WireVm) -> VmIncarnation:
+    """Read an incarnation."""
+    return VmIncarnation(VmId(message.vm), Incarnation(message.incarnation))
+
+
+def decode_heartbeat(request: HeartbeatRequest) -> Heartbeat:
+    """Read a heartbeat."""
+    return Heartbeat(
+        decode_vm(request.sender),
+        LogIndex(request.applied_index),
+        tuple(
+            ReleasedShare(
+                ResourceId(released.resource),
+                LogIndex(released.version),
+            )
+            for released in request.released
+        ),
+        frozenset(decode_vm(key) for key in request.revoked),
+        request.drained,
+    )
+
+
+def _entries_item(
+    entries: Sequence[CommittedEntry],
+    through: LogIndex,
+) -> FollowItem:
+    return FollowItem(
+        entries=FollowEntries(
+            through_index=through,
+            commands=[
+                FollowCommand(index=entry.index, command=entry.payload)
+                for entry in entries
+                if command_kind(entry.payload) is not CommandKind.RECORDS
+            ],
+        ),
+    )
+
+
+def _refusal(problem: ProposeProblem) -> ProposeReply:
+    if isinstance(problem, NotLeader):
+        return ProposeReply(
+            status=ProposeReply.NOT_LEADER,
+            leader=problem.leader or '',
+        )
+    if isinstance(problem, Overloaded):
+        # Not in the log, so the caller may safely ask again.
+        return ProposeReply(status=ProposeReply.NOT_LEADER)
+    if isinstance(problem, Stopped):
+        return ProposeReply(status=ProposeReply.STOPPED)
+    if isinstance(problem, StorageFailed):
+        return ProposeReply(status=ProposeReply.STORAGE_FAILED)
+    return ProposeReply(status=ProposeReply.TIMED_OUT)
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -0,0 +1,344 @@
+"""Steering of one request: choice, retries and hedging."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from types import MappingProxyType
+
+from plantainstand_core import RequestOutcome, ServiceId, VmId
+from plantainstand_steering import (
+    AttemptOutcome,
+    AttemptResult,
+    Candidate,
+    CandidateId,
+    CandidateKind,
+    HedgeFacts,
+    RankedCandidate,
+    RetryFacts,
+    may_retry,
+    rank_candidates,
+)
+from plantainstand_telemetry import current_traceparent
+
+from plantainstand_daemon._dispatch import DispatchOutcome
+from plantainstand_daemon._forward import Forwarder
+from plantainstand_daemon._holding import Holding
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._local import LocalDispatcher, LocalReport
+from plantainstand_daemon._messages import (
+    Reply,
+    SteeredRequest,
+    not_run,
+    unknown,
+)
+from plantainstand_daemon._services import ServiceRuntime
+
+_NO_TIME = timedelta(0)
+
+_RESULTS = MappingProxyType(
+    {
+        RequestOutcome.ANSWERED: AttemptResult.ANSWERED,
+        RequestOutcome.NOT_RUN: AttemptResult.REFUSED,
+        RequestOutcome.UNKNOWN: AttemptResult.FAILED,
+    }
+)
+
+
+@dataclass
+class _Progress:
+    """What has been tried for one request."""
+
+    request: SteeredRequest
+    runtime: ServiceRuntime
+    excluded: set[CandidateId] = field(default_factory=set)
+    tried: list[Candidate] = field(default_factory=list)
+    local_refused: bool = False
+    may_have_run: bool = False
+    reason: str = 'no target or VM has a slot for this service'
+
+    def conclude(self) -> Reply:
+        """Return the reply when no further attempt is made."""
+        if self.may_have_run:
+            return unknown(self.reason)
+        return not_run(self.reason)
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    """How one attempt ended."""
+
+    reply: Reply
+    spent_elsewhere: bool
+    """Whether a target or another VM was asked, which a retry must pay."""
+
+
+class Engine:
+    """Steers requests; owned by the event loop."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        local: LocalDispatcher,
+        forwarder: Forwarder,
+        runtimes: Callable[[], Mapping[ServiceId, ServiceRuntime]],
+        holding: Callable[[], Holding],
+        instruments: Instruments,
+    ) -> None:
+        """Use this VM's own targets through ``local``."""
+        self._vm = vm
+        self._local = local
+        self._forwarder = forwarder
+        self._runtimes = runtimes
+        self._holding = holding
+        self._clock = instruments.clock
+        self._metrics = instruments.metrics
+        self._tracing = instruments.tracing
+        self._random = instruments.random_source
+
+    async def steer(self, request: SteeredRequest) -> Reply:
+        """Find a target for a request and return what came of it."""
+        runtime = self._runtimes().get(request.service)
+        if runtime is None:
+            return not_run(f'the catalogue has no service `{request.service}`')
+        with self._tracing.span(
+            'steer',
+            request.traceparent,
+            request_id=request.request_id,
+            service=request.service,
+        ):
+            traced = replace(request, traceparent=current_traceparent())
+            return await self._steer(_Progress(traced, runtime))
+
+    async def serve_forwarded(self, request: SteeredRequest) -> Reply:
+        """Serve a request that another VM forwarded, at own targets only."""
+        runtime = self._runtimes().get(request.service)
+        if runtime is None:
+            return not_run(f'no service `{request.service}` at {self._vm}')
+        with self._tracing.span(
+            'serve forwarded',
+            request.traceparent,
+            request_id=request.request_id,
+            source_vm=request.source_vm or '',
+        ):
+            traced = replace(request, traceparent=current_traceparent())
+            attempt = await self._try_local(_Progress(traced, runtime))
+        self._metrics.count(
+            'forwarded_total',
+            outcome=attempt.reply.outcome.value,
+        )
+        return attempt.reply
+
+    async def _steer(self, progress: _Progress) -> Reply:
+        is_first = True
+        while True:  # noqa: WPS457
+            ranked = self._rank(progress)
+            if not ranked:
+                return progress.conclude()
+            if is_first:
+                attempt = await self._try_hedged(progress, ranked[0])
+            else:
+                attempt = await self._try(progress, ranked[0])
+            is_first = False
+            if attempt.reply.outcome is RequestOutcome.ANSWERED:
+                return attempt.reply
+            self._note_failure(progress, attempt.reply)
+            if not self._may_go_on(progress, attempt):
+                return progress.conclude()
+
+    def _rank(self, progress: _Progress) -> Sequence[RankedCandidate]:
+        excluded = set(progress.excluded)
+        if progress.local_refused:
+            excluded.update(progress.runtime.targets)
+        return rank_candidates(
+            progress.runtime.view,
+            self._random,
+            queued=len(progress.runtime.queue),
+            excluded=excluded,
+        )
+
+    def _note_failure(self, progress: _Progress, reply: Reply) -> None:
+        progress.reason = reply.reason
+        if reply.outcome is RequestOutcome.UNKNOWN:
+            progress.may_have_run = True
+
+    def _may_go_on(self, progress: _Progress, attempt: _Attempt) -> bool:
+        time_left = progress.request.deadline - self._clock.monotonic()
+        if not attempt.spent_elsewhere:
+            # A refusal by the own queue has cost nobody else anything.
+            return time_left > _NO_TIME
+        outcome = AttemptOutcome.DID_NOT_RUN
+        if attempt.reply.outcome is RequestOutcome.UNKNOWN:
+            outcome = AttemptOutcome.UNKNOWN
+        ranked = self._rank(progress)
+        if not ranked:
+            return False
+        budget = progress.runtime.budget
+        facts = RetryFacts(
+            outcome,
+            progress.runtime.service.idempotent,
+            time_left,
+            ranked[0].cost,
+            budget.available,
+        )
+        if not may_retry(facts):
+            return False
+        budget.try_spend()
+        self._metrics.count('retries_total', service=progress.request.service)
+        return True
+
+    async def _try(
+        self,
+        progress: _Progress,
+        ranked: RankedCandidate,
+    ) -> _Attempt:
+        if ranked.candidate.kind is CandidateKind.TARGET:
+            return await self._try_local(progress)
+        return await self._try_vm(progress, ranked.candidate)
+
+    async def _try_local(self, progress: _Progress) -> _Attempt:
+        excluded = frozenset(progress.excluded)
+        with self._tracing.span('target') as span:
+            traced = replace(
+                progress.request,
+                traceparent=current_traceparent(),
+            )
+            local = await self._local.run(traced, excluded)
+            span.set_attribute('candidate', local.candidate_id or '')
+            span.set_attribute('outcome', local.outcome.value)
+        if local.candidate_id is None:
+            progress.local_refused = True
+        else:
+            progress.excluded.add(local.candidate_id)
+        if local.outcome is DispatchOutcome.ANSWERED:
+            progress.runtime.budget.record_success()
+        return _Attempt(
+            self._local_reply(local),
+            local.candidate_id is not None,
+        )
+
+    def _local_reply(self, local: LocalReport) -> Reply:
+        report = local.report
+        if local.outcome is DispatchOutcome.ANSWERED:
+            served_by = f'{self._vm} {local.candidate_id}'
+            return Reply(
+                RequestOutcome.ANSWERED,
+                report.answer,
+                served_by=served_by,
+            )
+        if local.outcome is DispatchOutcome.UNKNOWN:
+            return unknown(report.reason)
+        return not_run(report.reason)
+
+    async def _try_vm(
+        self,
+        progress: _Progress,
+        candidate: Candidate,
+    ) -> _Attempt:
+        candidate_id = candidate.candidate_id
+        runtime = progress.runtime
+        progress.excluded.add(candidate_id)
+        progress.tried.append(candidate)
+        route = runtime.peers.get(candidate_id)
+        if route is None:
+            return _Attempt(not_run('the VM has left'), spent_elsewhere=False)
+        started = runtime.view.start(candidate_id)
+        outcome = AttemptResult.CANCELLED
+        try:
+            with self._tracing.span('forward', vm=route.key.vm):
+                traced = replace(
+                    progress.request,
+                    traceparent=current_traceparent(),
+                )
+                reply = await self._forwarder.run(
+                    traced,
+                    runtime,
+                    route,
+                    self._holding(),
+                )
+            outcome = _RESULTS[reply.outcome]
+        finally:
+            runtime.view.finish(started, outcome)
+        if reply.outcome is RequestOutcome.ANSWERED:
+            runtime.budget.record_success()
+        return _Attempt(reply, spent_elsewhere=True)
+
+    async def _try_hedged(
+        self,
+        progress: _Progress,
+        ranked: RankedCandidate,
+    ) -> _Attempt:
+        runtime = progress.runtime
+        delay = runtime.hedge.delay
+        started_at = self._clock.monotonic()
+        hedges = runtime.service.hedge.enabled and runtime.service.idempotent
+        if hedges and delay is not None:
+            attempt = await self._race(progress, ranked, delay)
+        else:
+            attempt = await self._try(progress, ranked)
+        if hedges and attempt.reply.outcome is RequestOutcome.ANSWERED:
+            runtime.hedge.record(self._clock.monotonic() - started_at)
+        return attempt
+
+    async def _race(
+        self,
+        progress: _Progress,
+        ranked: RankedCandidate,
+        delay: timedelta,
+    ) -> _Attempt:
+        first = asyncio.ensure_future(self._try(progress, ranked))
+        attempts = {first}
+        try:
+            await asyncio.wait(attempts, timeout=delay.total_seconds())
+            if not first.done():
+                attempts.update(self._start_hedge(progress, ranked))
+            return await _first_answer(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    def _start_hedge(
+        self,
+        progress: _Progress,
+        ranked: RankedCandidate,
+    ) -> Sequence[asyncio.Task[_Attempt]]:
+        runtime = progress.runtime
+        facts = HedgeFacts(
+            idempotent=runtime.service.idempotent,
+            time_left=progress.request.deadline - self._clock.monotonic(),
+            budget_available=runtime.budget.available,
+            tried=(ranked.candidate, *progress.tried),
+            ranked=self._rank(progress),
+        )
+        choice = runtime.hedge.choose(facts)
+        if choice is None or not runtime.budget.try_spend():
+            return ()
+        self._metrics.count('hedges_total', service=progress.request.service)
+        return (asyncio.ensure_future(self._try(progress, choice)),)
+
+
+async def _first_answer(
+    attempts: set[asyncio.Task[_Attempt]],
+) -> _Attempt:
+    """Return the first attempt with an answer, else the last to end.
+
+    If one attempt may have run, the result says so even when the other one
+    certainly did not.
+    """
+    pending = set(attempts)
+    failed: list[_Attempt] = []
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for ended in done:
+            attempt = ended.result()
+            if attempt.reply.outcome is RequestOutcome.ANSWERED:
+                return attempt
+            failed.append(attempt)
+    return max(failed, key=_is_unknown)
+
+
+def _is_unknown(attempt: _Attempt) -> bool:
+    return attempt.reply.outcome is RequestOutcome.UNKNOWN
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_follow.py
@@ -0,0 +1,105 @@
+"""Following the log at an entry VM that is no voter."""
+
+import asyncio
+from collections.abc import Sequence
+from datetime import timedelta
+
+import structlog
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from plantainstand_core import LogIndex, VmId
+from plantainstand_protocol.steering_grpc import ControlStub
+from plantainstand_protocol.steering_pb2 import FollowItem, FollowRequest
+
+from plantainstand_daemon._control_state import ControlState
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._settings import VoterAddress
+from plantainstand_daemon._tasks import pause
+
+_log = structlog.get_logger()
+
+# The voter sends something every 0.5 s; a longer silence means that the
+# connection or the voter is gone, whatever the kernel says.
+_SILENCE_TIMEOUT = timedelta(seconds=1.5)
+_RECONNECT_PAUSE = timedelta(milliseconds=100)
+
+
+class Follower:
+    """Keeps a copy of the control state from any voter's stream."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        voters: Sequence[VoterAddress],
+        state: ControlState,
+        instruments: Instruments,
+    ) -> None:
+        """Ask the voters in random order, so that they share the load."""
+        self._vm = vm
+        self._voters = list(voters)
+        instruments.random_source.shuffle(self._voters)
+        self._state = state
+        self._clock = instruments.clock
+        self._expected = LogIndex(0)
+        self._expected_at = self._clock.monotonic()
+
+    def note_commit(self, index: LogIndex) -> None:
+        """Take the leader's commit index, to tell a voter that is stuck.
+
+        A voter behind a partition goes on sending keep-alives without knowing
+        that the log has moved on.
+        """
+        if self._state.index >= self._expected:
+            self._expected = index
+            self._expected_at = self._clock.monotonic()
+
+    async def run(self) -> None:
+        """Follow until cancelled, one voter after the other."""
+        while True:  # noqa: WPS457
+            for voter in self._voters:
+                await self._follow(voter)
+                await pause(_RECONNECT_PAUSE)
+
+    async def _follow(self, voter: VoterAddress) -> None:
+        channel = Channel(voter.host, voter.rpc_port)
+        try:
+            await self._read(channel)
+        except (OSError, GRPCError, StreamTerminatedError) as problem:
+            _log.info('stream lost', voter=voter.vm, problem=repr(problem))
+        finally:
+            channel.close()
+
+    async def _read(self, channel: Channel) -> None:
+        seconds = _SILENCE_TIMEOUT.total_seconds()
+        await asyncio.wait_for(channel.__connect__(), seconds)
+        async with ControlStub(channel).Follow.open() as stream:
+            request = FollowRequest(
+                vm=self._vm,
+                after_index=self._state.index,
+            )
+            await stream.send_message(request, end=True)
+            item = await asyncio.wait_for(stream.recv_message(), seconds)
+            while item is not None and not self._is_stuck():
+                self._accept(item)
+                item = await asyncio.wait_for(stream.recv_message(), seconds)
+
+    def _is_stuck(self) -> bool:
+        if self._state.index >= self._expected:
+            return False
+        waited = self._clock.monotonic() - self._expected_at
+        return waited > _SILENCE_TIMEOUT
+
+    def _accept(self, item: FollowItem) -> None:
+        kind = item.WhichOneof('item')
+        if kind == 'snapshot':
+            # A voter that is behind must not take this VM back.
+            if item.snapshot.index > self._state.index:
+                self._state.restore(item.snapshot.state)
+        elif kind == 'entries':
+            for command in item.entries.commands:
+                if command.index > self._state.index:
+                    self._state.apply(
+                        LogIndex(command.index),
+                        command.command,
+                    )
+            self._state.advance(LogIndex(item.entries.through_index))
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_forward.py
@@ -0,0 +1,214 @@
+"""Forwarding of requests to the entry VM that owns a slot."""
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from plantainstand_core import Clock, RegionId, RequestOutcome
+from plantainstand_protocol import CallFailure, CallProblem, ChannelPool
+from plantainstand_protocol.steering_grpc import SteeringStub
+from plantainstand_protocol.steering_pb2 import (
+    Answer as WireAnswer,
+)
+from plantainstand_protocol.steering_pb2 import (
+    ForwardReply,
+    ForwardRequest,
+    Header,
+    VmSummary,
+)
+from plantainstand_shares import Claim, Reservation
+from plantainstand_telemetry import Metrics
+from result import Err, Result
+
+from plantainstand_daemon._demands import (
+    request_link_resource,
+    response_link_resource,
+    shift_resource,
+)
+from plantainstand_daemon._holding import Holding
+from plantainstand_daemon._messages import (
+    Answer,
+    Headers,
+    Reply,
+    SteeredRequest,
+    not_run,
+    unknown,
+)
+from plantainstand_daemon._services import PeerRoute, Place, ServiceRuntime
+
+# The other VM's own deadline ends first, so its reply can still arrive.
+_REPLY_MARGIN = timedelta(milliseconds=300)
+_MILLISECOND = timedelta(milliseconds=1)
+# Method, path, headers and framing of a request or a response.
+_OVERHEAD_BYTES = 1024
+
+_OUTCOMES = (
+    (ForwardReply.ANSWERED, RequestOutcome.ANSWERED),
+    (ForwardReply.NOT_RUN, RequestOutcome.NOT_RUN),
+    (ForwardReply.UNKNOWN, RequestOutcome.UNKNOWN),
+)
+
+
+class Forwarder:
+    """Sends requests to other entry VMs, within link and shift shares."""
+
+    def __init__(
+        self,
+        place: Place,
+        channels: ChannelPool,
+        clock: Clock,
+        metrics: Metrics,
+        on_summary: Callable[[VmSummary], None],
+    ) -> None:
+        """Hand the summary in each reply to ``on_summary``."""
+        self._place = place
+        self._channels = channels
+        self._clock = clock
+        self._metrics = metrics
+        self._on_summary = on_summary
+
+    async def run(
+        self,
+        request: SteeredRequest,
+        runtime: ServiceRuntime,
+        route: PeerRoute,
+        holding: Holding,
+    ) -> Reply:
+        """Forward one request and return what the other VM says."""
+        claims = self._claims(request, runtime, route.region)
+        reservation: Reservation | None = None
+        if claims:
+            reserved = holding.ledger.reserve(claims, self._clock.monotonic())
+            if reserved.is_err():
+                shortage = reserved.unwrap_err()
+                return not_run(
+                    f'{shortage.resource}: {shortage.reason.value}',
+                )
+            reservation = reserved.unwrap()
+        reply = not_run('the request was not sent')
+        try:
+            reply = await self._call(request, route)
+        finally:
+            if reservation is not None:
+                self._release(holding, reservation, route.region, reply)
+        self._metrics.count(
+            'attempts_total',
+            kind='vm',
+            outcome=reply.outcome.value,
+        )
+        return reply
+
+    async def _call(self, request: SteeredRequest, route: PeerRoute) -> Reply:
+        time_left = request.deadline - self._clock.monotonic()
+        message = encode_request(request, time_left, self._place)
+        called: Result[ForwardReply, CallProblem] = await self._channels.call(
+            route.endpoint,
+            lambda channel: SteeringStub(channel).Forward(message),
+            time_left + _REPLY_MARGIN,
+            replace_on_timeout=False,
+        )
+        if isinstance(called, Err):
+            problem = called.err_value
+            if problem.failure is CallFailure.NOT_SENT:
+                return not_run(str(problem))
+            return unknown(str(problem))
+        if called.ok_value.HasField('summary'):
+            self._on_summary(called.ok_value.summary)
+        return decode_reply(called.ok_value)
+
+    def _claims(
+        self,
+        request: SteeredRequest,
+        runtime: ServiceRuntime,
+        region: RegionId,
+    ) -> Sequence[Claim]:
+        own = self._place.region
+        if region == own:
+            return ()
+        response_bytes = runtime.service.limits.response_bytes
+        return (
+            Claim(shift_resource(request.service, own, region), 1),
+            Claim(
+                request_link_resource(own, region),
+                len(request.body) + _OVERHEAD_BYTES,
+            ),
+            Claim(
+                response_link_resource(region, own),
+                response_bytes + _OVERHEAD_BYTES,
+                settles_late=True,
+            ),
+        )
+
+    def _release(
+        self,
+        holding: Holding,
+        reservation: Reservation,
+        region: RegionId,
+        reply: Reply,
+    ) -> None:
+        body_bytes = len(reply.answer.body) if reply.answer else 0
+        used = {}
+        if reply.outcome is not RequestOutcome.UNKNOWN:
+            resource = response_link_resource(region, self._place.region)
+            used[resource] = body_bytes + _OVERHEAD_BYTES
+        holding.ledger.release(reservation, self._clock.monotonic(), used)
+
+
+def encode_request(
+    request: SteeredRequest,
+    time_left: timedelta,
+    place: Place,
+) -> ForwardRequest:
+    """Build the message for another VM."""
+    return ForwardRequest(
+        request_id=request.request_id,
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        headers=_encode_headers(request.headers),
+        body=request.body,
+        deadline_ms=max(time_left // _MILLISECOND, 1),
+        traceparent=request.traceparent,
+        source_vm=place.vm,
+    )
+
+
+def encode_reply(reply: Reply, summary: VmSummary) -> ForwardReply:
+    """Build the message that answers a forwarded request."""
+    outcomes = {ours: wire for wire, ours in _OUTCOMES}
+    message = ForwardReply(
+        outcome=outcomes[reply.outcome],
+        reason=reply.reason,
+        summary=summary,
+        target=reply.served_by,
+    )
+    if reply.answer is not None:
+        message.answer.CopyFrom(
+            WireAnswer(
+                status=reply.answer.status,
+                headers=_encode_headers(reply.answer.headers),
+                body=reply.answer.body,
+            ),
+        )
+    return message
+
+
+def decode_reply(message: ForwardReply) -> Reply:
+    """Read the message that answers a forwarded request."""
+    outcome = dict(_OUTCOMES).get(message.outcome, RequestOutcome.UNKNOWN)
+    answer = None
+    if outcome is RequestOutcome.ANSWERED:
+        answer = Answer(
+            message.answer.status,
+            decode_headers(message.answer.headers),
+            message.answer.body,
+        )
+    return Reply(outcome, answer, message.reason, message.target)
+
+
+def decode_headers(headers: Sequence[Header]) -> Headers:
+    """Read the headers of a request or an answer."""
+    return [(header.name, header.value) for header in headers]
+
+
+def _encode_headers(headers: Headers) -> Sequence[Header]:
+    return [Header(name=name, value=text) for name, text in headers]
--- a/libraries/steering/plantainstand_steering/_queue.py
+++ b/libraries/steering/plantainstand_steering/_queue.py
@@ -67,6 +67,11 @@
         """Slots of local targets that this VM owns."""
         return self._slots
 
+    @property
+    def service_time(self) -> timedelta:
+        """Mean time that a request holds a slot."""
+        return _SECOND * self._service_seconds
+
     def resize(self, slots: int) -> None:
         """State the slots whose release the waiting requests wait for."""
         self._slots = slots
