--- a/libraries/daemon/plantainstand_daemon/__init__.py
+++ b/libraries/daemon/plantainstand_daemon/__init__.py
@@ -1,1 +1,15 @@
 """The plantainstandd daemon."""
+
+from plantainstand_daemon._main import main
+from plantainstand_daemon._settings import (
+    DaemonSettings,
+    Role,
+    load_daemon_settings,
+)
+
+__all__ = (
+    'DaemonSettings',
+    'Role',
+    'load_daemon_settings',
+    'main',
+)
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_caller_bridge.py
@@ -0,0 +1,175 @@
+"""Connects the HTTP threads to the event loop."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from datetime import timedelta
+from functools import lru_cache
+from typing import TypeVar
+
+import msgspec
+from plantainstand_core import AvailabilityZoneId, RequestOutcome, ServiceId
+from plantainstand_membership import EntryAnswer, EntrySnapshot, rank_entries
+from result import Ok
+
+from plantainstand_daemon._activity import Activity
+from plantainstand_daemon._caller_api import Refusable
+from plantainstand_daemon._engine import Engine
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._messages import (
+    Reply,
+    SteeredRequest,
+    not_run,
+    unknown,
+)
+from plantainstand_daemon._recorded import RecordedRequests
+
+ResultT = TypeVar('ResultT')
+
+# The event loop ends a request by its deadline; this is for a loop that is
+# stuck, so that HTTP threads are not lost to it.
+_LOOP_MARGIN = timedelta(seconds=2)
+_CONTROL_TIMEOUT = timedelta(seconds=8)
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class CallerBridge:
+    """Runs callers' requests on the event loop from HTTP threads."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        records: RecordedRequests,
+        activity: Activity,
+        is_idempotent: Callable[[ServiceId], bool],
+        loop: asyncio.AbstractEventLoop,
+        instruments: Instruments,
+    ) -> None:
+        """Use ``loop`` for everything that waits."""
+        self._engine = engine
+        self._records = records
+        self._activity = activity
+        self._is_idempotent = is_idempotent
+        self._loop = loop
+        self._clock = instruments.clock
+        self._metrics = instruments.metrics
+
+    def serve(self, request: SteeredRequest) -> Refusable:
+        """Steer a request; blocks an HTTP thread until its reply."""
+        limit = request.deadline - self._clock.monotonic() + _LOOP_MARGIN
+        return self.run(
+            self._serve(request),
+            limit,
+            Ok(unknown('no reply within the deadline')),
+        )
+
+    def look_up(self, request_id: str) -> Refusable:
+        """Read a record; blocks an HTTP thread."""
+        return self.run(
+            self._records.look_up(request_id),
+            _CONTROL_TIMEOUT,
+            Ok(unknown('no reply by the voters')),
+        )
+
+    def cancel(self, request_id: str) -> Refusable:
+        """Cancel a request; blocks an HTTP thread."""
+        return self.run(
+            self._records.cancel(request_id),
+            _CONTROL_TIMEOUT,
+            Ok(unknown('no reply by the voters')),
+        )
+
+    def run(
+        self,
+        work: Coroutine[object, object, ResultT],
+        limit: timedelta,
+        late: ResultT,
+    ) -> ResultT:
+        """Run a coroutine on the loop; return ``late`` after ``limit``."""
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        try:
+            return future.result(limit.total_seconds())
+        except FutureTimeoutError:
+            future.cancel()
+            return late
+
+    async def _serve(self, request: SteeredRequest) -> Refusable:
+        if not self._activity.accepts:
+            return Ok(not_run('this VM is leaving; ask /v1/entries'))
+        started_at = self._clock.monotonic()
+        with self._activity.track():
+            if self._is_idempotent(request.service):
+                refusable: Refusable = Ok(await self._engine.steer(request))
+            else:
+                refusable = await self._records.serve(request)
+        self._count(request.service, refusable, started_at)
+        return refusable
+
+    def _count(
+        self,
+        service: ServiceId,
+        refusable: Refusable,
+        started_at: timedelta,
+    ) -> None:
+        outcome = 'refused'
+        if isinstance(refusable, Ok):
+            reply: Reply = refusable.ok_value
+            outcome = reply.outcome.value
+        self._metrics.count('requests_total', service=service, outcome=outcome)
+        if outcome == RequestOutcome.ANSWERED.value:
+            spent = self._clock.monotonic() - started_at
+            self._metrics.observe(
+                'request_seconds',
+                spent.total_seconds(),
+                service=service,
+            )
+
+
+def entry_lister(
+    snapshot: Callable[[], EntrySnapshot],
+) -> Callable[[str, AvailabilityZoneId], bytes]:
+    """Build the function that encodes entry answers; thread-safe.
+
+    Equal answers are the same object until the snapshot is replaced, so each
+    is encoded once.
+    """
+
+    @lru_cache(maxsize=4096)
+    def encode(key: _AnswerKey) -> bytes:
+        return _encode_answer(key.answer)
+
+    def list_entries(caller: str, zone: AvailabilityZoneId) -> bytes:
+        answer = rank_entries(snapshot(), caller, zone or None)
+        return encode(_AnswerKey(answer))
+
+    return list_entries
+
+
+class _AnswerKey:
+    """Cache key that compares answers by identity, which is cheap."""
+
+    def __init__(self, answer: EntryAnswer) -> None:
+        self.answer = answer
+
+    def __hash__(self) -> int:
+        return id(self.answer)
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, _AnswerKey) and self.answer is other.answer
+
+
+def _encode_answer(answer: EntryAnswer) -> bytes:
+    return msgspec.json.encode(
+        {
+            'version': answer.version,
+            'lifetime_ms': answer.lifetime // _MILLISECOND,
+            'entries': [
+                {
+                    'vm': entry.vm,
+                    'url': f'http://{entry.host}:{entry.port}',
+                    'availability_zone': entry.availability_zone,
+                }
+                for entry in answer.entries
+            ],
+        }
+    )
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_health_poll.py
@@ -0,0 +1,66 @@
+"""Reads the health of this VM's targets."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from datetime import timedelta
+
+from plantainstand_core import ServiceId
+
+from plantainstand_daemon._dispatch import TargetClient
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._local import update_ejections
+from plantainstand_daemon._services import LocalTarget, ServiceRuntime
+from plantainstand_daemon._tasks import pause
+
+_INTERVAL = timedelta(seconds=1)
+_HEALTHY_STATES = frozenset(('ok', 'serving', 'healthy'))
+
+
+class HealthPoll:
+    """Asks each target for its health; owned by the event loop.
+
+    The answer only makes a failing target suspect sooner, and serves as the
+    probe of an ejected one: reports can lag or mislead.
+    """
+
+    def __init__(
+        self,
+        client: TargetClient,
+        executor: Executor,
+        runtimes: Callable[[], Mapping[ServiceId, ServiceRuntime]],
+        instruments: Instruments,
+    ) -> None:
+        """Ask on the threads of ``executor``."""
+        self._client = client
+        self._executor = executor
+        self._runtimes = runtimes
+        self._clock = instruments.clock
+
+    async def run(self) -> None:
+        """Ask again and again, until cancelled."""
+        while True:  # noqa: WPS457
+            polls = [
+                self._poll(runtime, local)
+                for runtime in self._runtimes().values()
+                for local in runtime.targets.values()
+            ]
+            await asyncio.gather(*polls, pause(_INTERVAL))
+
+    async def _poll(self, runtime: ServiceRuntime, local: LocalTarget) -> None:
+        target = local.target.target_id
+        health = runtime.health
+        is_probe = health.begin_probe(target)
+        asked_at = self._clock.monotonic()
+        document = await asyncio.get_running_loop().run_in_executor(
+            self._executor,
+            self._client.read_json,
+            local.address,
+            '/health',
+        )
+        state = '' if document is None else str(document.get('state', ''))
+        is_healthy = state in _HEALTHY_STATES
+        health.accept_report(target, is_healthy, asked_at)
+        if is_probe:
+            health.record(target, succeeded=is_healthy)
+            update_ejections(runtime)
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_platform_poll.py
@@ -0,0 +1,74 @@
+"""Reads the platform's list of VMs."""
+
+import asyncio
+from concurrent.futures import Executor
+from datetime import datetime, timedelta
+
+import msgspec
+import urllib3
+from plantainstand_core import AvailabilityZoneId, VmId
+from plantainstand_membership import (
+    PlatformList,
+    PlatformSnapshot,
+    PlatformState,
+    PlatformVm,
+)
+from urllib3.exceptions import HTTPError
+
+from plantainstand_daemon._leader import Leader
+from plantainstand_daemon._tasks import pause
+
+_INTERVAL = timedelta(seconds=2)
+_TIMEOUT_S = 2.0
+
+
+class _Line(msgspec.Struct, frozen=True):
+    id: VmId
+    availability_zone: AvailabilityZoneId
+    state: PlatformState
+
+
+class _Document(msgspec.Struct, frozen=True):
+    generated_at: datetime
+    vms: tuple[_Line, ...]
+
+
+class PlatformPoll:
+    """Tells the leader which VMs are terminated for good."""
+
+    def __init__(self, url: str, leader: Leader, executor: Executor) -> None:
+        """Ask ``url`` on the threads of ``executor``."""
+        self._url = f'{url}/vms'
+        self._leader = leader
+        self._executor = executor
+        self._list = PlatformList()
+        self._pool = urllib3.PoolManager()
+
+    async def run(self) -> None:
+        """Ask again and again, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:  # noqa: WPS457
+            snapshot = await loop.run_in_executor(self._executor, self._read)
+            if snapshot is not None and self._list.accept(snapshot):
+                self._leader.note_terminated(self._list.terminated)
+            await pause(_INTERVAL)
+
+    def _read(self) -> PlatformSnapshot | None:
+        """Read the list; an unreadable one is treated like a late one."""
+        try:
+            response = self._pool.request(
+                'GET',
+                self._url,
+                timeout=_TIMEOUT_S,
+                retries=False,
+            )
+            document = msgspec.json.decode(response.data, type=_Document)
+        except (HTTPError, OSError, msgspec.DecodeError):
+            return None
+        return PlatformSnapshot(
+            document.generated_at,
+            tuple(
+                PlatformVm(line.id, line.availability_zone, line.state)
+                for line in document.vms
+            ),
+        )
--- a/libraries/daemon/plantainstand_daemon/_presence.py
+++ b/libraries/daemon/plantainstand_daemon/_presence.py
@@ -7,7 +7,7 @@
 
 import structlog
 from plantainstand_catalogue import DrainSubjectKind
-from plantainstand_core import Incarnation
+from plantainstand_core import Incarnation, LogIndex
 from plantainstand_membership import ENTRY_LIFETIME
 from plantainstand_protocol.steering_pb2 import (
     HeartbeatReply,
@@ -194,19 +194,16 @@
         )
 
     async def _update_leaving(self, record: VmRecord) -> None:
-        if record.ended_at is not None:
+        if record.ended_at:
             self._change(PresenceState.DEPARTED)
-        elif record.state is VmState.LIVE:
-            if self._stopping:
-                await self._propose(
-                    MarkLeaving(record.vm, record.incarnation),
-                )
-                self._start_leaving()
-            else:
-                self._change(PresenceState.SERVING)
-        else:
+        elif record.state is VmState.LEAVING or self._stopping:
+            if record.state is VmState.LIVE:
+                command = MarkLeaving(record.vm, record.incarnation)
+                await self._propose(command)
             self._start_leaving()
             self._advance_leaving()
+        else:
+            self._change(PresenceState.SERVING)
 
     def _start_leaving(self) -> None:
         if self._leaving_since is None:
@@ -266,7 +263,9 @@
         if reply.status == HeartbeatReply.SUPPORTED:
             holding.support.leader_supported(sent_at)
             if self._port.follower is not None:
-                self._port.follower.note_commit(reply.commit_index)
+                self._port.follower.note_commit(
+                    LogIndex(reply.commit_index),
+                )
             return
         if reply.status == HeartbeatReply.UNKNOWN_INCARNATION:
             holding.support.leader_refused()
