--- a/bench/plantainstand_bench/_vm_list.py
+++ b/bench/plantainstand_bench/_vm_list.py
@@ -158,3 +158,7 @@
             ),
         ],
     )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
