--- a/bench/plantainstand_bench/_caller.py
+++ b/bench/plantainstand_bench/_caller.py
@@ -28,12 +28,12 @@
 )
 from plantainstand_bench._system_map import MappedService
 
-_MAX_SENDINGS = 6
 _FIRST_PAUSE_SECONDS = 0.25
 _LONGEST_PAUSE_SECONDS = 2
 # The best outcome of several attempts is the outcome of the request.
 _PREFERENCE = (
     Outcome.ANSWERED,
+    Outcome.FAILED,
     Outcome.NOT_RUN,
     Outcome.REJECTED,
     Outcome.UNKNOWN,
@@ -48,6 +48,9 @@
     """Behaviour common to all callers."""
 
     seed: int
+    sendings: int
+    """Sendings of a non-idempotent request."""
+
     twin_fraction: float
     """Share of resends sent to two entry VMs at the same moment."""
 
@@ -116,7 +119,7 @@
         request_id = new_request_id()
         attempts: list[Attempt] = []
         pause = _FIRST_PAUSE_SECONDS
-        for sending in range(_MAX_SENDINGS):
+        for sending in range(self._rules.sendings):
             entries = await self._directory.entries()
             is_twin = sending and self._chance(self._rules.twin_fraction)
             used = _rotate(entries, sending)[: 2 if is_twin else 1]
--- a/bench/plantainstand_bench/_caller_api.py
+++ b/bench/plantainstand_bench/_caller_api.py
@@ -92,6 +92,8 @@
     )
     if outcome is not Outcome.ANSWERED:
         return outcome, ''
+    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        outcome = Outcome.FAILED
     try:
         body = msgspec.json.decode(answer.body, type=_Body)
     except msgspec.DecodeError:
--- a/bench/plantainstand_bench/_deployment.py
+++ b/bench/plantainstand_bench/_deployment.py
@@ -108,6 +108,9 @@
     """Port of the platform's list; zero starts no list."""
 
     platform_list_lag_ms: Milliseconds = 2000
+    sendings: PositiveCount = 6
+    """Sendings of a non-idempotent request while its outcome is unknown."""
+
     twin_fraction: Fraction = 0.2
     """Share of resends that go to two entry VMs at the same moment."""
 
--- a/bench/plantainstand_bench/_load_run.py
+++ b/bench/plantainstand_bench/_load_run.py
@@ -172,7 +172,11 @@
     plan: RunPlan,
     client: HttpClient,
 ) -> Callable[[CallerIdentity], _AnyCaller]:
-    rules = CallerRules(plan.seed, plan.deployment.twin_fraction)
+    rules = CallerRules(
+        plan.seed,
+        plan.deployment.sendings,
+        plan.deployment.twin_fraction,
+    )
     entry_vms = [vm for vm in plan.deployment.vms if vm.is_entry]
 
     def make(identity: CallerIdentity) -> Caller:
--- a/bench/plantainstand_bench/_records.py
+++ b/bench/plantainstand_bench/_records.py
@@ -15,6 +15,9 @@
     """Final outcome of a request, or the outcome of one attempt."""
 
     ANSWERED = 'answered'
+    FAILED = 'failed'
+    """The target's whole answer says that its work failed."""
+
     NOT_RUN = 'not-run'
     UNKNOWN = 'unknown'
     """The answer says so."""
--- a/bench/plantainstand_bench/_system.py
+++ b/bench/plantainstand_bench/_system.py
@@ -96,9 +96,10 @@
         """Start list and daemons and load the catalogue."""
         if self._deployment.platform_list_port:
             self._start_list()
-        for voter in self._deployment.vms:
-            if voter.is_voter and not await self._format(voter.id):
-                return Err(StartProblem(f'{voter.id}: --format failed'))
+        voters = [vm.id for vm in self._deployment.vms if vm.is_voter]
+        formatted = await asyncio.gather(*map(self._format, voters))
+        if not all(formatted):
+            return Err(StartProblem('--format failed, see the logs'))
         for started in self._deployment.vms:
             self.start_vm(started.id)
         probes = [
--- a/bench/plantainstand_bench/_verdict.py
+++ b/bench/plantainstand_bench/_verdict.py
@@ -26,6 +26,7 @@
 
     requests: int
     answered_whole: int
+    failed: int
     not_run: int
     unknown: int
     rejected: int
@@ -65,6 +66,7 @@
     return Outcomes(
         requests=len(log.records),
         answered_whole=counts[Outcome.ANSWERED],
+        failed=counts[Outcome.FAILED],
         not_run=counts[Outcome.NOT_RUN],
         unknown=sum(counts[outcome] for outcome in UNKNOWN_OUTCOMES),
         rejected=counts[Outcome.REJECTED],
@@ -116,7 +118,7 @@
 
 
 def _is_foreign(attempt: Attempt) -> bool:
-    is_answered = attempt.outcome is Outcome.ANSWERED
+    is_answered = attempt.outcome in {Outcome.ANSWERED, Outcome.FAILED}
     return is_answered and attempt.answered_id != attempt.request_id
 
 
