--- a/bench/plantainstand_bench/_connections.py
+++ b/bench/plantainstand_bench/_connections.py
@@ -52,12 +52,16 @@
         with self._lock:
             self._open.discard(connection)
 
-    def silence_open(self) -> None:
-        """Stop sending on every open connection, and keep them open."""
+    def silence_open(self, spared: 'FaultyConnection') -> None:
+        """Stop sending on open connections, and keep them open.
+
+        ``spared`` carries the order itself, which must be answered.
+        """
         with self._lock:
-            for connection in self._open:
+            chosen = self._open - {spared}
+            for connection in chosen:
                 connection.silence()
-            self._silent.update(self._open)
+            self._silent.update(chosen)
 
     def close_silent(self) -> None:
         """Close silent connections when the server stops."""
--- a/bench/plantainstand_bench/_target_application.py
+++ b/bench/plantainstand_bench/_target_application.py
@@ -76,7 +76,7 @@
         method = environment['REQUEST_METHOD']
         path = environment['PATH_INFO']
         if (method, path) == ('PUT', '/faults'):
-            return self._put_faults(read_body(environment))
+            return self._put_faults(environment)
         if (method, path) == ('GET', '/load'):
             return self._get_load()
         if (method, path) == ('GET', '/health'):
@@ -86,7 +86,8 @@
             return self._cancel(RequestId(request_id))
         return self._do_work(environment)
 
-    def _put_faults(self, body: bytes) -> Answer:
+    def _put_faults(self, environment: Environment) -> Answer:
+        body = read_body(environment)
         try:
             faults = msgspec.json.decode(body, type=TargetFaults)
         except msgspec.DecodeError as problem:
@@ -96,7 +97,7 @@
         self._health.freeze(current)
         self._work.replace_faults(faults)
         if faults.silent_connections:
-            self._registry.silence_open()
+            self._registry.silence_open(connection_of(environment))
         return make_answer(HTTPStatus.OK, faults)
 
     def _get_load(self) -> Answer:
