Plan only the groups of resources whose shares changed

Ruled out: changing plan_shares to take the changed resources only; the caller cannot know which shares of a zone move when one VM joins.

Change: SharePlanner remembers the groups of resources, by owners, that needed no change and skips them while their shares are the same objects. A split is not replaced by one that is only equally even.

Conclusion: the planner's cost follows what has changed.

--- a/libraries/shares/plantainstand_shares/__init__.py
+++ b/libraries/shares/plantainstand_shares/__init__.py
@@ -42,7 +42,7 @@
     encode_outcome,
 )
 from plantainstand_shares._pacing import GrowthLimit, SlotRamp, TargetPacer
-from plantainstand_shares._planner import ShareDemand, plan_shares
+from plantainstand_shares._planner import ShareDemand, SharePlanner, plan_shares
 from plantainstand_shares._state import ShareState
 from plantainstand_shares._timing import SupportTiming
 from plantainstand_shares._view import (
@@ -84,6 +84,7 @@
     'ShareGrant',
     'ShareLedger',
     'ShareOutcome',
+    'SharePlanner',
     'ShareState',
     'ShareUnit',
     'ShareView',
--- a/libraries/shares/plantainstand_shares/_planner.py
+++ b/libraries/shares/plantainstand_shares/_planner.py
@@ -1,7 +1,9 @@
 """Planner: one safe step from the present shares to the wanted ones."""
 
+import operator
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import cache, partial
 
 from plantainstand_core import Incarnation, LogIndex, ResourceId, VmId
 
@@ -61,12 +63,70 @@
     which nothing is returned. Resources without a demand are removed. The
     result is the same for equal arguments.
     """
-    wanted = _wanted_shares(demands, share_view)
-    steps = (
-        _step(demand, share_view, wanted[demand.resource])
-        for demand in (*demands, *_removed(demands, share_view))
-    )
-    return tuple(change for change in steps if change.grants)
+    return SharePlanner().plan(demands, share_view)
+
+
+class SharePlanner:
+    """Remembers what needs no change, so that it is not examined again.
+
+    The results are those of :func:`plan_shares`.
+    """
+
+    def __init__(self) -> None:
+        """Start without memory."""
+        self._settled: dict[_Owners, _Group] = {}
+
+    def plan(
+        self,
+        demands: Sequence[ShareDemand],
+        share_view: ShareView,
+    ) -> Sequence[ShareChange]:
+        """See :func:`plan_shares`."""
+        settled: dict[_Owners, _Group] = {}
+        changes: list[ShareChange] = []
+        for owners, demanded in _groups(demands, share_view).items():
+            group = _Group(demanded, share_view)
+            if not group.equals(self._settled.get(owners)):
+                steps = _group_steps(group, owners, share_view)
+                unsettled = [step for step in steps if step.grants]
+                changes.extend(unsettled)
+                if unsettled:
+                    continue
+            settled[owners] = group
+        self._settled = settled
+        return changes
+
+
+class _Group:
+    """Resources with the same owners and their present shares."""
+
+    __slots__ = ('demands', 'present')
+
+    def __init__(self, demands: Sequence[ShareDemand], view: ShareView):
+        self.demands = demands
+        self.present = [
+            view.resources.get(demand.resource, _NONE_HELD)
+            for demand in demands
+        ]
+
+    def equals(self, other: '_Group | None') -> bool:
+        # Views share what has not changed, so identity is enough.
+        return (
+            other is not None
+            and self.demands == other.demands
+            and all(map(operator.is_, self.present, other.present))
+        )
+
+
+def _groups(
+    demands: Sequence[ShareDemand],
+    view: ShareView,
+) -> Mapping[_Owners, Sequence[ShareDemand]]:
+    groups: dict[_Owners, list[ShareDemand]] = {}
+    find_owners = cache(partial(_find_owners, view.register))
+    for demand in (*demands, *_removed(demands, view)):
+        groups.setdefault(find_owners(demand.tiers), []).append(demand)
+    return groups
 
 
 def _removed(
@@ -80,76 +140,72 @@
         yield ShareDemand(resource, known[resource].unit, 0, ())
 
 
-def _wanted_shares(
-    demands: Sequence[ShareDemand],
+def _find_owners(
+    register: RegisterView,
+    tiers: tuple[tuple[VmId, ...], ...],
+) -> _Owners:
+    newest = register.newest
+    for tier in tiers:
+        owners = tuple(
+            newest[vm].key
+            for vm in sorted(set(tier))
+            if vm in newest and newest[vm].may_get_shares
+        )
+        if owners:
+            return owners
+    return ()
+
+
+def _group_steps(
+    group: _Group,
+    owners: _Owners,
     view: ShareView,
-) -> Mapping[ResourceId, _Wanted]:
-    wanted: dict[ResourceId, _Wanted] = dict.fromkeys(view.resources, {})
-    groups: dict[_Owners, list[ShareDemand]] = {}
-    find_owners = _OwnerSearch(view.register)
-    for demand in demands:
-        owners = find_owners(demand.tiers)
-        wanted[demand.resource] = {}
-        if owners and demand.unit is ShareUnit.RATE:
-            share = split_rate(demand.capacity, len(owners))
-            wanted[demand.resource] = dict.fromkeys(owners, share)
-        elif owners:
-            groups.setdefault(owners, []).append(demand)
-    for owners, group in groups.items():
-        wanted.update(_split_group(group, owners, view))
-    return wanted
+) -> Iterator[ShareChange]:
+    wanted = _wanted_shares(group, owners)
+    for demand, known in zip(group.demands, group.present):
+        yield _step(demand, known, view, wanted[demand.resource])
 
 
-def _split_group(
-    group: Sequence[ShareDemand],
+def _wanted_shares(
+    group: _Group,
     owners: _Owners,
-    view: ShareView,
-) -> Iterator[tuple[ResourceId, _Wanted]]:
-    present = [
-        {
-            key: share.share
-            for key, share in _held_of(view, demand.resource).holders.items()
-        }
-        for demand in group
+) -> Mapping[ResourceId, _Wanted]:
+    wanted: dict[ResourceId, _Wanted] = {
+        demand.resource: _equal_rates(demand, owners)
+        for demand in group.demands
+        if not owners or demand.unit is ShareUnit.RATE
+    }
+    counted = [
+        (demand, _present_shares(known))
+        for demand, known in zip(group.demands, group.present)
+        if demand.resource not in wanted
     ]
-    capacities = [int(demand.capacity) for demand in group]
-    splits = split_counts(capacities, present, owners)
-    return zip((demand.resource for demand in group), splits)
-
-
-class _OwnerSearch:
-    """Finds owners; most resources of a zone have equal tiers."""
-
-    def __init__(self, register: RegisterView):
-        self._register = register
-        self._found: dict[tuple[tuple[VmId, ...], ...], _Owners] = {}
-
-    def __call__(self, tiers: tuple[tuple[VmId, ...], ...]) -> _Owners:
-        known = self._found.get(tiers)
-        if known is None:
-            known = self._search(tiers)
-            self._found[tiers] = known
-        return known
-
-    def _search(self, tiers: tuple[tuple[VmId, ...], ...]) -> _Owners:
-        newest = self._register.newest
-        for tier in tiers:
-            owners = tuple(
-                newest[vm].key
-                for vm in sorted(set(tier))
-                if vm in newest and newest[vm].may_get_shares
-            )
-            if owners:
-                return owners
-        return ()
+    if counted:
+        splits = split_counts(
+            [int(pair[0].capacity) for pair in counted],
+            [pair[1] for pair in counted],
+            owners,
+        )
+        wanted.update(zip((pair[0].resource for pair in counted), splits))
+    return wanted
+
+
+def _equal_rates(demand: ShareDemand, owners: _Owners) -> _Wanted:
+    if not owners:
+        return {}
+    return dict.fromkeys(owners, split_rate(demand.capacity, len(owners)))
+
+
+def _present_shares(known: ResourceShares) -> _Wanted:
+    return {key: share.share for key, share in known.holders.items()}
 
 
 def _step(
     demand: ShareDemand,
+    known: ResourceShares,
     view: ShareView,
     wanted: _Wanted,
 ) -> ShareChange:
-    known = _held_of(view, demand.resource)
     lowered = {
         key: wanted.get(key, 0)
         for key, share in known.holders.items()
@@ -190,7 +246,3 @@
         for key, share in reached.items()
         if share > present[key].share
     }
-
-
-def _held_of(view: ShareView, resource: ResourceId) -> ResourceShares:
-    return view.resources.get(resource, _NONE_HELD)
--- a/libraries/shares/plantainstand_shares/_register.py
+++ b/libraries/shares/plantainstand_shares/_register.py
@@ -34,10 +34,14 @@
         longest_deadline_ms: int = DEFAULT_LONGEST_DEADLINE_MS,
     ):
         """Start with the contents of a snapshot."""
-        self._records = {record.key: record for record in records}
+        self._records: dict[VmIncarnation, VmRecord] = {}
+        self._newest: dict[VmId, VmRecord] = {}
+        self._zones: dict[AvailabilityZoneId, tuple[VmRecord, ...]] = {}
         self._zone_versions = dict(zone_versions)
         self._longest_deadline_ms = longest_deadline_ms
         self._view: RegisterView | None = None
+        for record in records:
+            self._put(record)
 
     @property
     def longest_deadline_ms(self) -> int:
@@ -48,7 +52,12 @@
     def view(self) -> RegisterView:
         """Immutable copy, shared until the next change."""
         if self._view is None:
-            self._view = _make_view(self._records, self._zone_versions)
+            self._view = RegisterView(
+                records=MappingProxyType(self._records.copy()),
+                newest=MappingProxyType(self._newest.copy()),
+                zone_records=MappingProxyType(self._zones.copy()),
+                zone_versions=MappingProxyType(self._zone_versions.copy()),
+            )
         return self._view
 
     def find(self, key: VmIncarnation) -> VmRecord | None:
@@ -58,7 +67,7 @@
 
     def register(self, command: RegisterVm, index: LogIndex) -> ShareOutcome:
         """Add an incarnation; the VM's earlier one is superseded."""
-        newest = self.view.newest.get(command.vm)
+        newest = self._newest.get(command.vm)
         if newest and newest.incarnation >= command.incarnation:
             if newest.is_member and newest.incarnation == command.incarnation:
                 return Accepted(newest.registered_at)
@@ -116,6 +125,16 @@
 
     def _put(self, record: VmRecord) -> None:
         self._records[record.key] = record
+        newest = self._newest.get(record.vm, record)
+        if newest.incarnation <= record.incarnation:
+            self._newest[record.vm] = record
+        zone = record.availability_zone
+        others = (
+            other
+            for other in self._zones.get(zone, ())
+            if other.key != record.key
+        )
+        self._zones[zone] = (*others, record)
         self._view = None
 
     def _change_members(
@@ -130,44 +149,29 @@
         # An ended record is needed while a member may still believe that the
         # ended VM is a member, too; the newest one of a VM shows which
         # incarnations are used up.
-        view = self.view
-        oldest = min(
-            (record.applied_floor for record in view.members(zone)),
+        records = self._zones[zone]
+        oldest_view = min(
+            (record.applied_floor for record in records if record.is_member),
             default=None,
         )
-        for record in view.zone_records.get(zone, ()):
-            if _is_obsolete(record, oldest, view.newest[record.vm]):
-                self._records.pop(record.key)
-                self._view = None
-
-
-def _is_obsolete(
-    record: VmRecord,
-    oldest_view: LogIndex | None,
-    newest: VmRecord,
-) -> bool:
-    if record.ended_at is None or newest.key == record.key:
-        return False
+        kept = tuple(
+            record
+            for record in records
+            if self._newest[record.vm].key == record.key
+            or _is_needed(record, oldest_view)
+        )
+        if len(kept) == len(records):
+            return
+        for record in set(records).difference(kept):
+            self._records.pop(record.key)
+        self._zones[zone] = kept
+        self._view = None
+
+
+def _is_needed(record: VmRecord, oldest_view: LogIndex | None) -> bool:
+    if record.ended_at is None:
+        return True
     until = record.member_until
-    return oldest_view is None or until is None or until <= oldest_view
-
-
-def _make_view(
-    records: dict[VmIncarnation, VmRecord],
-    zone_versions: dict[AvailabilityZoneId, LogIndex],
-) -> RegisterView:
-    newest: dict[VmId, VmRecord] = {}
-    zones: dict[AvailabilityZoneId, list[VmRecord]] = {}
-    for record in records.values():
-        known = newest.get(record.vm)
-        if known is None or known.incarnation < record.incarnation:
-            newest[record.vm] = record
-        zones.setdefault(record.availability_zone, []).append(record)
-    return RegisterView(
-        records=MappingProxyType(records.copy()),
-        newest=MappingProxyType(newest),
-        zone_records=MappingProxyType(
-            {zone: tuple(group) for zone, group in zones.items()},
-        ),
-        zone_versions=MappingProxyType(zone_versions.copy()),
-    )
+    if oldest_view is None or until is None:
+        return False
+    return until > oldest_view
--- a/libraries/shares/plantainstand_shares/_split.py
+++ b/libraries/shares/plantainstand_shares/_split.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Mapping, Sequence
+from itertools import repeat
 
 from plantainstand_shares._commands import Amount
 from plantainstand_shares._view import VmIncarnation
@@ -37,32 +38,46 @@
         {owner for owner in owners if known.get(owner, 0) > part[0]}
         for part, known in zip(parts, present)
     ]
-    if not _is_even(parts, present, owners):
-        rests = [part[1] for part in parts]
-        extras = _spread(rests, extras, owners)
+    spread = _total_spread(extras, owners)
+    is_even = all(map(_is_even_split, parts, present, repeat(owners)))
+    if not is_even or spread > _KEPT_SPREAD:
+        moved = _spread([part[1] for part in parts], extras, owners)
+        # Two splits that are equally good must not take turns.
+        if not is_even or _total_spread(moved, owners) < spread:
+            extras = moved
     return [
         {owner: part[0] + (owner in chosen) for owner in owners}
         for part, chosen in zip(parts, extras)
     ]
 
 
-def _is_even(
-    parts: Sequence[tuple[int, int]],
-    present: Sequence[Mapping[VmIncarnation, Amount]],
+def _is_even_split(
+    part: tuple[int, int],
+    known: Mapping[VmIncarnation, Amount],
     owners: Sequence[VmIncarnation],
 ) -> bool:
-    totals: dict[VmIncarnation, Amount] = dict.fromkeys(owners, 0)
-    for (base, rest), known in zip(parts, present):
-        above = 0
-        for owner in owners:
-            extra = known.get(owner, 0) - base
-            if extra not in {0, 1}:
-                return False
-            above += int(extra)
-            totals[owner] += extra
-        if above != rest:
-            return False
-    return max(totals.values()) - min(totals.values()) <= _KEPT_SPREAD
+    base, rest = part
+    above = [known.get(owner, 0) - base for owner in owners]
+    return sum(above) == rest and all(extra in {0, 1} for extra in above)
+
+
+def _total_spread(
+    extras: Sequence[set[VmIncarnation]],
+    owners: Sequence[VmIncarnation],
+) -> int:
+    totals = _totals(extras, owners).values()
+    return max(totals) - min(totals)
+
+
+def _totals(
+    extras: Sequence[set[VmIncarnation]],
+    owners: Sequence[VmIncarnation],
+) -> Counts:
+    totals = dict.fromkeys(owners, 0)
+    for holders in extras:
+        for holder in holders:
+            totals[holder] += 1
+    return totals
 
 
 def _spread(
@@ -89,10 +104,7 @@
 ) -> Counts:
     # Each owner's number of extra slots; the larger ones go to owners that
     # have more of them now.
-    held = dict.fromkeys(owners, 0)
-    for holders in present:
-        for holder in holders:
-            held[holder] += 1
+    held = _totals(present, owners)
     base, rest = divmod(total, len(owners))
     ranked = sorted(owners, key=lambda owner: -held[owner])
     return {owner: base + (rank < rest) for rank, owner in enumerate(ranked)}
--- a/libraries/shares/plantainstand_shares/_table.py
+++ b/libraries/shares/plantainstand_shares/_table.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 
 import msgspec
-from plantainstand_core import LogIndex, ResourceId
+from plantainstand_core import Incarnation, LogIndex, ResourceId, VmId
 
 from plantainstand_shares._commands import (
     Amount,
@@ -22,13 +22,23 @@
 _NONE_HELD = ResourceShares(ShareUnit.COUNT, 0, {}, 0)
 
 
-class ResourceEntry(msgspec.Struct, frozen=True):
+class ShareRow(msgspec.Struct, frozen=True, array_like=True):
+    """One share in a snapshot."""
+
+    vm: VmId
+    incarnation: Incarnation
+    share: Amount
+    held: Amount
+    version: LogIndex
+
+
+class ResourceEntry(msgspec.Struct, frozen=True, array_like=True):
     """One resource in a snapshot."""
 
     resource: ResourceId
     unit: ShareUnit
     capacity: Amount
-    shares: tuple[Share, ...]
+    rows: tuple[ShareRow, ...]
 
 
 class ShareTable:
@@ -40,7 +50,18 @@
         self._by_vm: dict[VmIncarnation, dict[ResourceId, Share]] = {}
         self._vm_views: dict[VmIncarnation, Mapping[ResourceId, Share]] = {}
         for entry in entries:
-            holders = {share.key: share for share in entry.shares}
+            holders = {
+                VmIncarnation(row.vm, row.incarnation): Share(
+                    entry.resource,
+                    row.vm,
+                    row.incarnation,
+                    entry.unit,
+                    row.share,
+                    row.held,
+                    row.version,
+                )
+                for row in entry.rows
+            }
             self._store(entry.resource, entry.unit, entry.capacity, holders)
 
     @property
@@ -99,7 +120,10 @@
                 resource,
                 known.unit,
                 known.capacity,
-                tuple(known.holders[key] for key in sorted(known.holders)),
+                tuple(
+                    ShareRow(*key, share.share, share.held, share.version)
+                    for key, share in sorted(known.holders.items())
+                ),
             )
             for resource, known in sorted(self._resources.items())
         )
