Test the target client, the HTTP layer and recorded requests

Cause: these decide what a caller is told, and had no tests of their own. Found: every metric was registered twice, once in a global registry, which failed as soon as a process had two sets of metrics; each set now has its own registry. A connection pool closed by a cancel in another thread counted as a request that may have run; it is now known that nothing was sent. Change: after a cancel the pooled connections to the target are given up, so the next attempt does not meet the same silence.

--- a/libraries/daemon/plantainstand_daemon/_admission.py
+++ b/libraries/daemon/plantainstand_daemon/_admission.py
@@ -91,7 +91,7 @@
         request: SteeredRequest,
         excluded: frozenset[CandidateId],
     ) -> Grant | ShedReason:
-        """Wait for a slot; the grant must be released once."""
+        """Wait for a slot; the grant must be released."""
         # Resends and hedges of one request can wait here at the same time.
         queue_id = RequestId(f'{request.request_id}/{next(self._numbers)}')
         runtime = self._runtimes.get(request.service)
@@ -116,7 +116,9 @@
         return admitted
 
     def release(self, grant: Grant, result: AttemptResult) -> None:
-        """Give a slot back and hand it to the next request."""
+        """Give a slot back, once, and hand it to the next request."""
+        if not grant.reservation.open:
+            return
         now = self._clock.monotonic()
         grant.ledger.release(grant.reservation, now)
         grant.runtime.view.finish(grant.attempt, result)
--- a/libraries/daemon/plantainstand_daemon/_control_state.py
+++ b/libraries/daemon/plantainstand_daemon/_control_state.py
@@ -68,6 +68,8 @@
         self._shares = ShareState()
         self._records = RecordState()
         self._listeners: list[Callable[[], None]] = []
+        # Heartbeats read the view far more often than changes replace it.
+        self._view: ControlView | None = None
 
     @property
     def index(self) -> LogIndex:
@@ -84,12 +86,17 @@
         self._listeners.append(listener)
 
     def view(self) -> ControlView:
-        """Return the current catalogue and share table."""
-        return ControlView(
-            self._index,
-            self._catalogue.view(),
-            self._shares.view(),
-        )
+        """Return the current catalogue and share table.
+
+        It is the same object until one of the two changes.
+        """
+        if self._view is None:
+            self._view = ControlView(
+                self._index,
+                self._catalogue.view(),
+                self._shares.view(),
+            )
+        return self._view
 
     def apply(self, index: LogIndex, payload: bytes) -> bytes:
         """Apply one entry and return the encoded outcome.
@@ -164,5 +171,6 @@
         return encode_record_outcome(outcome)
 
     def _notify(self) -> None:
+        self._view = None
         for listener in self._listeners:
             listener()
--- a/libraries/daemon/plantainstand_daemon/_dispatch.py
+++ b/libraries/daemon/plantainstand_daemon/_dispatch.py
@@ -11,6 +11,7 @@
 from plantainstand_core import RequestOutcome, TargetId
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
+    ClosedPoolError,
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
@@ -33,6 +34,7 @@
 _READ_CHUNK_BYTES = 65536
 _NO_TIME = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
+_NOT_SENT = (NewConnectionError, ConnectTimeoutError, ClosedPoolError)
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -153,7 +155,13 @@
         return self._send_now(address, request, left, limits)
 
     def cancel(self, address: TargetAddress, request_id: str) -> str:
-        """Ask the target to cancel; return the state it names, or nothing."""
+        """Ask the target to cancel; return the state it names, or nothing.
+
+        The connections in the pool are given up: an attempt that needs to be
+        cancelled is late, perhaps because established connections to this
+        target have gone silent.
+        """
+        self.forget(address)
         try:
             response = _new_pool(address).request(
                 'DELETE',
@@ -212,7 +220,7 @@
                 redirect=False,
                 preload_content=False,
             )
-        except (NewConnectionError, ConnectTimeoutError) as problem:
+        except _NOT_SENT as problem:
             return DispatchReport(
                 DispatchOutcome.UNREACHABLE,
                 reason=f'no connection to {address.target}: {problem}',
--- a/libraries/daemon/plantainstand_daemon/_leader.py
+++ b/libraries/daemon/plantainstand_daemon/_leader.py
@@ -84,6 +84,8 @@
         self._progress: dict[VmIncarnation, VmProgress] = {}
         self._requested: set[AnyCommand] = set()
         self._deadline_ms: int | None = None
+        # View for which the planner had nothing to do.
+        self._settled_view: ControlView | None = None
         state.add_listener(self._wake.set)
 
     @property
@@ -194,7 +196,11 @@
             yield SetLongestDeadline(longest)
 
     async def _plan(self, view: ControlView) -> None:
+        if view is self._settled_view:
+            return
         changes = plan_shares(build_demands(view), view.shares)
+        if not changes:
+            self._settled_view = view
         for start in range(0, len(changes), _CHANGES_PER_COMMAND):
             batch = tuple(changes[start : start + _CHANGES_PER_COMMAND])
             self._metrics.count('share_changes_total', len(batch))
--- a/libraries/daemon/plantainstand_daemon/_local.py
+++ b/libraries/daemon/plantainstand_daemon/_local.py
@@ -101,7 +101,7 @@
         try:
             report = await asyncio.shield(work)
         except asyncio.CancelledError:
-            self._start(self._cancel_at_target(grant, request))
+            self._start(self._cancel_and_release(grant, request))
             raise
         return LocalReport(
             report.outcome,
@@ -177,6 +177,15 @@
         await pause(max(until - self._clock.monotonic(), _NO_TIME))
         self._admission.release(grant, AttemptResult.FAILED)
 
+    async def _cancel_and_release(
+        self,
+        grant: Grant,
+        request: SteeredRequest,
+    ) -> None:
+        state = await self._cancel_at_target(grant, request)
+        if state in _ENDED_STATES:
+            self._admission.release(grant, AttemptResult.CANCELLED)
+
     async def _cancel_at_target(
         self,
         grant: Grant,
--- a/libraries/telemetry/plantainstand_telemetry/_metrics.py
+++ b/libraries/telemetry/plantainstand_telemetry/_metrics.py
@@ -41,8 +41,11 @@
         """Add to a counter."""
         counter = self._counters.get(name)
         if counter is None:
-            counter = Counter(name, self._help_texts[name])
-            self._registry.register(counter)
+            counter = Counter(
+                name,
+                self._help_texts[name],
+                registry=self._registry,
+            )
             self._counters[name] = counter
         counter.add(labels, amount)
 
@@ -50,8 +53,11 @@
         """Set a gauge."""
         gauge = self._gauges.get(name)
         if gauge is None:
-            gauge = Gauge(name, self._help_texts[name])
-            self._registry.register(gauge)
+            gauge = Gauge(
+                name,
+                self._help_texts[name],
+                registry=self._registry,
+            )
             self._gauges[name] = gauge
         gauge.set(labels, reading)
 
@@ -62,9 +68,9 @@
             histogram = Histogram(
                 name,
                 self._help_texts[name],
+                registry=self._registry,
                 buckets=_LATENCY_BUCKETS,
             )
-            self._registry.register(histogram)
             self._histograms[name] = histogram
         histogram.add(labels, seconds)
 
--- /dev/null
+++ b/tests/daemon/stub_target.py
@@ -0,0 +1,78 @@
+"""A target whose every answer is written by the test, byte by byte."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+
+Script = Callable[[str], bytes | None]
+"""Takes the request id; returns the raw response, or None for silence."""
+
+
+def response(
+    request_id: str,
+    status: str = '200 OK',
+    body: bytes = b'done',
+    length: int | None = None,
+    more: str = '',
+) -> bytes:
+    """Build a raw HTTP response."""
+    size = len(body) if length is None else length
+    head = (
+        f'HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n'
+        f'Content-Length: {size}\r\n{more}\r\n'
+    )
+    return head.encode() + body
+
+
+@contextmanager
+def run_target(script: Script) -> Iterator[int]:
+    """Serve ``script`` on a loopback port for the time of the block."""
+    stop = threading.Event()
+    with ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        thread = threading.Thread(
+            target=_serve,
+            args=(server, script, stop),
+            daemon=True,
+        )
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(server.shutdown, socket.SHUT_RDWR)
+        stack.callback(stop.set)
+        yield server.getsockname()[1]
+
+
+def _serve(
+    server: socket.socket,
+    script: Script,
+    stop: threading.Event,
+) -> None:
+    while not stop.is_set():
+        try:
+            connection, _address = server.accept()
+        except OSError:
+            return
+        threading.Thread(
+            target=_answer,
+            args=(connection, script, stop),
+            daemon=True,
+        ).start()
+
+
+def _answer(
+    connection: socket.socket,
+    script: Script,
+    stop: threading.Event,
+) -> None:
+    with connection:
+        received = connection.recv(65536).decode()
+        if not received:
+            return
+        lines = received.split('\r\n')
+        ids = [line[12:] for line in lines if line.startswith('Request-Id: ')]
+        raw = script(ids[0] if ids else '')
+        if raw is None:
+            stop.wait()
+        else:
+            connection.sendall(raw)
--- /dev/null
+++ b/tests/daemon/test_recorded.py
@@ -0,0 +1,178 @@
+"""Non-idempotent requests run at most once, whatever gets lost."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+from http import HTTPStatus
+from typing import cast
+
+from plantainstand_core import (
+    Incarnation,
+    ManualClock,
+    RequestId,
+    RequestOutcome,
+    ServiceId,
+    VmId,
+)
+from plantainstand_daemon._caller_api import Refusable
+from plantainstand_daemon._control_client import ControlClient
+from plantainstand_daemon._messages import (
+    Answer,
+    Reply,
+    SteeredRequest,
+    not_run,
+    unknown,
+)
+from plantainstand_daemon._recorded import RecordedRequests
+from plantainstand_shares import VmIncarnation
+
+from tests.daemon.fakes import FakeLog, make_instruments
+
+# UUID version 7 with the time of the manual clock, 2026-01-01.
+_ID = '019b76da-a800-7000-8000-000000000001'
+_ANSWER = Reply(RequestOutcome.ANSWERED, Answer(201, (), b'order 7'))
+_ANSWERED = RequestOutcome.ANSWERED
+_NOT_RUN = RequestOutcome.NOT_RUN
+_UNKNOWN = RequestOutcome.UNKNOWN
+
+
+class _Vm:
+    """One entry VM whose targets answer as the test says."""
+
+    def __init__(self, name: str, log: FakeLog, clock: ManualClock) -> None:
+        self.executions = 0
+        self.reply = _ANSWER
+        self._clock = clock
+        self._requests = RecordedRequests(
+            cast(ControlClient, log),
+            self._steer,
+            lambda: VmIncarnation(VmId(name), Incarnation(1)),
+            make_instruments(clock),
+        )
+
+    def send(self, body: bytes = b'bronze') -> Refusable:
+        """Serve one request with the test's id."""
+        return asyncio.run(self.serve(body))
+
+    async def serve(self, body: bytes = b'bronze') -> Refusable:
+        """Serve one request with the test's id."""
+        request = SteeredRequest(
+            RequestId(_ID),
+            ServiceId('order'),
+            'POST',
+            '/orders',
+            (),
+            body,
+            self._clock.monotonic() + timedelta(milliseconds=100),
+        )
+        served = await self._requests.serve(request)
+        while self._requests.unrecorded:
+            await asyncio.sleep(0)
+        return served
+
+    def cancel(self) -> Refusable:
+        """Cancel the test's id."""
+        return asyncio.run(self._requests.cancel(_ID))
+
+    def look_up(self) -> Refusable:
+        """Read the outcome of the test's id."""
+        return asyncio.run(self._requests.look_up(_ID))
+
+    async def _steer(self, request: SteeredRequest) -> Reply:
+        await asyncio.sleep(0)
+        if self.reply.outcome is not _NOT_RUN:
+            self.executions += 1
+        return self.reply
+
+
+class RecordedRequestsTest(unittest.TestCase):
+    """Guards against doubled orders and a "not run" that was not true."""
+
+    def setUp(self) -> None:
+        """Set up two entry VMs before one log."""
+        clock = ManualClock()
+        self.log = FakeLog()
+        self.first = _Vm('bajio-a-1', self.log, clock)
+        self.second = _Vm('norte-a-1', self.log, clock)
+
+    def test_resend_elsewhere_gets_the_answer(self) -> None:
+        """A resend at another VM does not run again."""
+        self._expect(self.first.send(), _ANSWERED)
+        reply = self.second.send().unwrap()
+        self.assertEqual(reply.answer, Answer(201, (), b'order 7'))
+        self._expect_executions(1, 0)
+
+    def test_not_run_stays_not_run(self) -> None:
+        """A request that was refused everywhere never runs later."""
+        self.first.reply = not_run('no slot')
+        self._expect(self.first.send(), _NOT_RUN)
+        self._expect(self.second.send(), _NOT_RUN)
+        self._expect(self.first.send(), _NOT_RUN)
+        self._expect_executions(0, 0)
+
+    def test_unknown_is_not_run_again(self) -> None:
+        """A lost answer leaves "unknown", never a second execution."""
+        self.first.reply = unknown('the connection went silent')
+        self._expect(self.first.send(), _UNKNOWN)
+        self._expect(self.second.send(), _UNKNOWN)
+        self._expect_executions(1, 0)
+
+    def test_both_at_once(self) -> None:
+        """Of two VMs that hold the same id, only one dispatches."""
+
+        async def send_twice() -> tuple[Refusable, Refusable]:
+            return await asyncio.gather(
+                self.first.serve(),
+                self.second.serve(),
+            )
+
+        first, second = asyncio.run(send_twice())
+        self._expect(first, _ANSWERED)
+        self._expect(second, _UNKNOWN)
+        self._expect_executions(1, 0)
+
+    def test_no_majority(self) -> None:
+        """Without the log nothing runs, and nobody claims "not run"."""
+        self.log.reachable = False
+        self._expect(self.first.send(), _UNKNOWN)
+        self._expect_executions(0, 0)
+        self.log.reachable = True
+        self._expect(self.second.send(), _ANSWERED)
+
+    def test_lost_admission(self) -> None:
+        """A VM that does not learn of its admission does not dispatch."""
+        self.log.answers = False
+        self._expect(self.first.send(), _UNKNOWN)
+        self.log.answers = True
+        self._expect(self.second.send(), _NOT_RUN)
+        self._expect_executions(0, 0)
+
+    def test_cancel(self) -> None:
+        """A cancel before the admission is final; one after it is not."""
+        self._expect(self.second.cancel(), _NOT_RUN)
+        self._expect(self.first.send(), _NOT_RUN)
+        self._expect_executions(0, 0)
+
+    def test_cancel_after_execution(self) -> None:
+        """A cancel that comes too late gets the answer."""
+        self.first.send()
+        self._expect(self.second.cancel(), _ANSWERED)
+
+    def test_other_content(self) -> None:
+        """An id used again for other content is refused."""
+        self.first.send()
+        refused = self.second.send(b'teflon').unwrap_err()
+        self.assertEqual(refused.status, HTTPStatus.CONFLICT)
+
+    def test_look_up(self) -> None:
+        """The outcome can be asked for at any VM."""
+        self._expect(self.second.look_up(), _UNKNOWN)
+        self.first.send()
+        self._expect(self.second.look_up(), _ANSWERED)
+
+    def _expect(self, served: Refusable, outcome: RequestOutcome) -> None:
+        self.assertEqual(served.unwrap().outcome, outcome)
+
+    def _expect_executions(self, *expected: int) -> None:
+        found = (self.first.executions, self.second.executions)
+        self.assertEqual(found, expected)
