--- a/bench/plantainstand_bench/_fault_runner.py
+++ b/bench/plantainstand_bench/_fault_runner.py
@@ -62,7 +62,8 @@
     async def _apply_later(self, fault: AnyFault) -> None:
         await asyncio.sleep(fault.at_s)
         # The line lets a reader of the log relate it to the latencies.
-        sys.stderr.write(f'{fault.at_s:.1f} s: {fault}\n')
+        text = msgspec.json.encode(fault).decode()
+        sys.stderr.write(f'fault: {text}\n')
         if isinstance(fault, AnnounceDrain | WithdrawDrain | CallOperator):
             await self._call_operator(fault)
         elif isinstance(fault, FaultTargets | ChangeVmList):
--- a/bench/plantainstand_bench/_faults.py
+++ b/bench/plantainstand_bench/_faults.py
@@ -22,7 +22,7 @@
 )
 
 
-class _Timed(Strict, frozen=True, tag_field='kind'):
+class _Timed(Strict, frozen=True, omit_defaults=True, tag_field='kind'):
     at_s: Milliseconds
     """Seconds after the first arrival."""
 
--- a/bench/plantainstand_bench/_load_main.py
+++ b/bench/plantainstand_bench/_load_main.py
@@ -36,7 +36,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the load; return 1 for a broken promise, 2 if it cannot run."""
-    options = _parser().parse_args(arguments)
+    options = parse_arguments(arguments)
     done = check_run(options) if options.check else run_load(options)
     if isinstance(done, Err):
         sys.stderr.write(f'{done.err_value}\n')
@@ -48,6 +48,11 @@
     return 0 if is_kept else _EXIT_BROKEN_PROMISE
 
 
+def parse_arguments(arguments: Sequence[str] | None) -> argparse.Namespace:
+    """Parse the options of the command line."""
+    return _parser().parse_args(arguments)
+
+
 def run_load(options: argparse.Namespace) -> Result[Report, object]:
     """Run the load and write its reports."""
     planned = make_plan(options)
--- a/bench/plantainstand_bench/_load_run.py
+++ b/bench/plantainstand_bench/_load_run.py
@@ -127,6 +127,7 @@
         records=sending.result(),
         planned_stops=system.planned_stops,
         drains=operator.drains,
+        lost_targets=system.lost_targets,
     )
 
 
--- a/bench/plantainstand_bench/_measures.py
+++ b/bench/plantainstand_bench/_measures.py
@@ -6,8 +6,17 @@
 from hdrh.histogram import HdrHistogram
 from plantainstand_core import ServiceId, TrafficClass
 
+from plantainstand_bench._headroom import (
+    Headroom,
+    measure_headroom,
+    measured_records,
+)
 from plantainstand_bench._journal import JournalEvent, JournalKind
-from plantainstand_bench._records import CallerRecord, Outcome, RunLog
+from plantainstand_bench._records import (
+    CallerRecord,
+    Outcome,
+    RunLog,
+)
 
 _LOWEST_MICROSECONDS = 1
 _HIGHEST_MICROSECONDS = 600_000_000
@@ -31,16 +40,6 @@
     """
 
 
-class Headroom(msgspec.Struct, frozen=True, kw_only=True):
-    """Use of slots up to the first shed of the critical class."""
-
-    highest_share: float
-    """Highest share of the slots of the critical class in use, 0 to 1."""
-
-    first_shed: float | None
-    """Seconds since the epoch; absent when nothing was shed."""
-
-
 class DrainTime(msgspec.Struct, frozen=True, kw_only=True):
     """How long a planned stop or a drain took."""
 
@@ -55,20 +54,20 @@
     latency: Mapping[str, Latency]
     """By class."""
 
+    sending_delay_p99_ms: float
+    """How late the tool itself sent; high values distort the latencies."""
+
     headroom: Headroom
     drain_times: Sequence[DrainTime]
 
 
 def measure(log: RunLog, events: Sequence[JournalEvent]) -> Measures:
     """Compute the measures."""
-    records = [
-        record
-        for record in log.records
-        if record.scheduled >= log.measured_from
-    ]
+    records = measured_records(log)
     return Measures(
         latency=measure_latency(records),
-        headroom=measure_headroom(records, events, log.measured_from),
+        sending_delay_p99_ms=_sending_delay(records),
+        headroom=measure_headroom(log, events),
         drain_times=measure_drains(log, events),
     )
 
@@ -87,33 +86,6 @@
     }
 
 
-def measure_headroom(
-    records: Sequence[CallerRecord],
-    events: Iterable[JournalEvent],
-    measured_from: float = 0,
-) -> Headroom:
-    """Return the highest share of the critical slots in use at one time.
-
-    Only targets that have run are counted, and a restarted target starts
-    with free slots.
-    """
-    critical = _critical_services(records)
-    first_shed = _first_critical_shed(records)
-    end = float('inf') if first_shed is None else first_shed
-    in_use: dict[str, int] = {}
-    slots: dict[str, int] = {}
-    highest = float(0)
-    for event in events:
-        if event.service not in critical or event.time > end:
-            continue
-        in_use[event.target] = min(event.in_use, event.slots)
-        slots[event.target] = event.slots
-        if event.time >= measured_from:
-            share = sum(in_use.values()) / sum(slots.values())
-            highest = max(highest, share)
-    return Headroom(highest_share=highest, first_shed=first_shed)
-
-
 def measure_drains(
     log: RunLog,
     events: Sequence[JournalEvent],
@@ -137,6 +109,15 @@
     return (*stops, *drains)
 
 
+def _sending_delay(records: Iterable[CallerRecord]) -> float:
+    delays = _new_histogram()
+    for record in records:
+        if record.attempts:
+            delay = record.attempts[0].started - record.scheduled
+            delays.record_value(_microseconds(delay * 1000))
+    return _percentile(delays, 99)
+
+
 def _new_histogram() -> HdrHistogram:
     return HdrHistogram(
         _LOWEST_MICROSECONDS,
@@ -174,26 +155,6 @@
     return float(histogram.get_value_at_percentile(percentile)) / 1000
 
 
-def _critical_services(
-    records: Iterable[CallerRecord],
-) -> frozenset[ServiceId]:
-    return frozenset(
-        record.service
-        for record in records
-        if record.traffic_class is TrafficClass.CRITICAL
-    )
-
-
-def _first_critical_shed(records: Iterable[CallerRecord]) -> float | None:
-    sheds = (
-        record.ended
-        for record in records
-        if record.outcome is Outcome.NOT_RUN
-        and record.traffic_class is TrafficClass.CRITICAL
-    )
-    return min(sheds, default=None)
-
-
 def _difference(later: float | None, earlier: float) -> float | None:
     return None if later is None else later - earlier
 
--- a/bench/plantainstand_bench/_records.py
+++ b/bench/plantainstand_bench/_records.py
@@ -98,6 +98,13 @@
     withdrawn: float | None = None
 
 
+class LostTarget(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that was killed; its journal does not say so."""
+
+    target: str
+    time: float
+
+
 class RunLog(msgspec.Struct, frozen=True, kw_only=True):
     """Everything that the verdict is drawn from besides the journals."""
 
@@ -107,12 +114,15 @@
     records: Sequence[CallerRecord] = ()
     planned_stops: Sequence[PlannedStop] = ()
     drains: Sequence[Drain] = ()
+    lost_targets: Sequence[LostTarget] = ()
+    """In order of time."""
 
 
 class _Announcements(msgspec.Struct, frozen=True, kw_only=True):
     measured_from: float
     planned_stops: Sequence[PlannedStop]
     drains: Sequence[Drain]
+    lost_targets: Sequence[LostTarget] = ()
 
 
 def write_run_log(folder: Path, log: RunLog) -> None:
@@ -124,6 +134,7 @@
         measured_from=log.measured_from,
         planned_stops=log.planned_stops,
         drains=log.drains,
+        lost_targets=log.lost_targets,
     )
     (folder / _RUN_FILE).write_bytes(encoder.encode(announcements))
 
@@ -141,4 +152,5 @@
         records=records,
         planned_stops=announcements.planned_stops,
         drains=announcements.drains,
+        lost_targets=announcements.lost_targets,
     )
--- a/bench/plantainstand_bench/_report.py
+++ b/bench/plantainstand_bench/_report.py
@@ -88,6 +88,7 @@
         maximum = f'max {latency.maximum_ms:.1f}'
         failures = f'p99 with failures {latency.p99_with_failures_ms:.1f}'
         yield (f'latency {name} (ms)', f'{percentiles}, {maximum}, {failures}')
+    yield ('sending delay, p99 (ms)', f'{measures.sending_delay_p99_ms:.1f}')
 
 
 def _headroom_rows(measures: Measures) -> Iterable[tuple[str, str]]:
--- a/bench/plantainstand_bench/_system.py
+++ b/bench/plantainstand_bench/_system.py
@@ -16,7 +16,7 @@
 from plantainstand_bench._http_client import Address, HttpClient
 from plantainstand_bench._probes import Probe, wait_until_ready
 from plantainstand_bench._processes import Processes
-from plantainstand_bench._records import PlannedStop
+from plantainstand_bench._records import LostTarget, PlannedStop
 from plantainstand_bench._run_files import (
     RunFolder,
     write_daemon_settings,
@@ -65,6 +65,7 @@
         self._processes = Processes(folder.logs)
         self._client = HttpClient()
         self._stops: list[PlannedStop] = []
+        self._lost: list[LostTarget] = []
         self._stop_waits: list[asyncio.Task[None]] = []
         self._daemon_files = {
             vm.id: write_daemon_settings(deployment, vm, folder)
@@ -82,6 +83,11 @@
         """Daemons that were asked to stop, and when they exited."""
         return tuple(self._stops)
 
+    @property
+    def lost_targets(self) -> Sequence[LostTarget]:
+        """Targets that were killed."""
+        return tuple(self._lost)
+
     async def start_targets(self) -> Result[None, StartProblem]:
         """Start all targets and wait until they answer."""
         for zone in self._target_files:
@@ -90,10 +96,13 @@
             Probe(target.id, Address(target.host, target.port), '/health')
             for target in self._map.targets
         ]
-        return await self._wait_until_ready(probes)
+        return await _wait(self._client, probes)
 
     async def start_daemons(self) -> Result[None, StartProblem]:
         """Start list and daemons and load the catalogue."""
+        for command in (self._commands.daemon, self._commands.control):
+            if shutil.which(command[0]) is None:
+                return Err(StartProblem(f'no command `{command[0]}`'))
         if self._deployment.platform_list_port:
             self._start_list()
         voters = [vm.id for vm in self._deployment.vms if vm.is_voter]
@@ -106,7 +115,7 @@
             Probe(vm.id, Address(vm.host, vm.http_port), '/healthz')
             for vm in self._deployment.vms
         ]
-        ready = await self._wait_until_ready(probes)
+        ready = await _wait(self._client, probes)
         return ready if isinstance(ready, Err) else await self._load_catalogue()
 
     def start_zone_targets(self, zone: AvailabilityZoneId) -> None:
@@ -133,6 +142,12 @@
     def kill_zone_targets(self, zone: AvailabilityZoneId) -> None:
         """Kill the targets of a zone."""
         self._processes.send_signal(f'targets-{zone}', signal.SIGKILL)
+        now = time.time()
+        self._lost.extend(
+            LostTarget(target=target.id, time=now)
+            for target in self._map.targets
+            if target.availability_zone == zone
+        )
 
     def stop_vm(self, vm: VmId) -> None:
         """Ask a daemon to stop and note when it exits."""
@@ -182,16 +197,6 @@
             await asyncio.sleep(_PAUSE_SECONDS)
         return Err(StartProblem('the catalogue was not accepted, see log'))
 
-    async def _wait_until_ready(
-        self,
-        probes: Sequence[Probe],
-    ) -> Result[None, StartProblem]:
-        late = await wait_until_ready(self._client, probes)
-        if late:
-            names = ', '.join(late)
-            return Err(StartProblem(f'not ready in time: {names}'))
-        return Ok(None)
-
     async def _run_to_end(
         self,
         name: str,
@@ -205,6 +210,17 @@
         return self._processes.exit_code(name) == 0
 
 
+async def _wait(
+    client: HttpClient,
+    probes: Sequence[Probe],
+) -> Result[None, StartProblem]:
+    late = await wait_until_ready(client, probes)
+    if late:
+        names = ', '.join(late)
+        return Err(StartProblem(f'not ready in time: {names}'))
+    return Ok(None)
+
+
 def _apply_command(
     deployment: Deployment,
     commands: Commands,
--- a/bench/plantainstand_bench/_target_settings.py
+++ b/bench/plantainstand_bench/_target_settings.py
@@ -95,7 +95,7 @@
     targets: tuple[TargetSettings, ...]
 
 
-class ReportFault(Strict, frozen=True):
+class ReportFault(Strict, frozen=True, omit_defaults=True):
     """How a report differs from the truth."""
 
     mode: ReportMode = 'honest'
@@ -105,7 +105,7 @@
     """Age of a lagging report."""
 
 
-class TargetFaults(Strict, frozen=True):
+class TargetFaults(Strict, frozen=True, omit_defaults=True):
     """Body of ``PUT /faults``; fields that are left out are reset."""
 
     load_report: ReportFault = ReportFault()
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -8,15 +8,16 @@
     planned_rates,
 )
 from plantainstand_bench._deployment import Deployment, TrafficPlan
+from plantainstand_bench._headroom import measure_headroom
 from plantainstand_bench._journal import JournalEvent, JournalKind
 from plantainstand_bench._measures import (
     measure_drains,
-    measure_headroom,
     measure_latency,
 )
 from plantainstand_bench._records import (
     CallerRecord,
     Drain,
+    LostTarget,
     Outcome,
     PlannedStop,
     RunLog,
@@ -82,10 +83,25 @@
             _event(JournalKind.START, 103, 10, 'u'),
         ]
         records = [_record(Outcome.NOT_RUN, 102)]
-        headroom = measure_headroom(records, events)
+        headroom = measure_headroom(RunLog(records=records), events)
         self.assertEqual(headroom.first_shed, 102)
         self.assertAlmostEqual(headroom.highest_share, 0.8)
 
+    def test_killed_target_has_no_slots_in_use(self) -> None:
+        """Work that a killed target never ended does not count as use."""
+        events = [
+            _event(JournalKind.START, 100, 4),
+            _event(JournalKind.START, 101, 10, 'u'),
+            _event(JournalKind.START, 103, 5),
+        ]
+        log = RunLog(
+            measured_from=100,
+            records=[_record(Outcome.ANSWERED, 103)],
+            lost_targets=[LostTarget(target='u', time=102)],
+        )
+        headroom = measure_headroom(log, events)
+        self.assertAlmostEqual(headroom.highest_share, 0.7)
+
     def test_drain_times(self) -> None:
         """A drain ends with its last work, a stop with the exit."""
         log = RunLog(
