--- a/bench/plantainstand_bench/_measures.py
+++ b/bench/plantainstand_bench/_measures.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from hdrh.histogram import HdrHistogram
-from plantainstand_core import ServiceId, TrafficClass
+from plantainstand_core import TrafficClass
 
 from plantainstand_bench._headroom import (
     Headroom,
