--- a/libraries/steering/plantainstand_steering/__init__.py
+++ b/libraries/steering/plantainstand_steering/__init__.py
@@ -16,7 +16,10 @@
 )
 from plantainstand_steering._hedge import HedgeFacts, HedgePolicy
 from plantainstand_steering._queue import AdmissionQueue, QueuedRequest
-from plantainstand_steering._ranking import rank_candidates
+from plantainstand_steering._ranking import (
+    choose_free_target,
+    rank_candidates,
+)
 from plantainstand_steering._retry import (
     AttemptOutcome,
     RetryBudget,
@@ -59,6 +62,7 @@
     'ShedReason',
     'Started',
     'TargetHealth',
+    'choose_free_target',
     'may_retry',
     'may_share_target',
     'rank_candidates',
--- a/libraries/steering/plantainstand_steering/_estimate.py
+++ b/libraries/steering/plantainstand_steering/_estimate.py
@@ -33,12 +33,17 @@
 # A refusal says that the wait would have been at least this many service
 # times.
 _REFUSED_WAIT = 3.0
+# No end of any attempt for this time and this many usual latencies shows a
+# lost candidate before its calls time out.
+_MIN_SILENCE_SECONDS = 0.1
+_SILENT_TIMES = 3
 _TRUST_STEP = 0.15
 _MIN_TRUST = 0.02
 _MAX_USE = 0.99
+_ANSWERS = frozenset((AttemptResult.ANSWERED, AttemptResult.REFUSED))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Estimate:
     """Mutable statistics of one candidate; owned by a service's view."""
 
@@ -64,9 +69,22 @@
     """Number of own attempts, decayed with age."""
 
     observed_at: float = 0
-    valid_until: float = -math.inf
+    started_at: float = -math.inf
+    unanswered_since: float = math.inf
+    """Time from which attempts are in flight and none was answered.
+
+    A silent candidate keeps it when its attempts have timed out or were
+    cancelled, until it answers.
+    """
+
     cost: float = 0
-    """Cost at the last refresh; current until ``valid_until``."""
+    """Cost at the last refresh, with its jitter."""
+
+    is_stale: bool = True
+    """Whether facts have changed since the last refresh."""
+
+    is_touched: bool = False
+    """Whether facts have changed since the last sort."""
 
 
 def new_estimate(candidate: Candidate) -> Estimate:
@@ -85,7 +103,6 @@
     estimate.candidate = candidate
     estimate.delay = candidate.network_delay.total_seconds()
     estimate.slots = candidate.slots
-    estimate.valid_until = -math.inf
 
 
 def accept_report(estimate: Estimate, report: LoadReport) -> None:
@@ -97,7 +114,25 @@
     estimate.reported_busy = max(0, busy)
     estimate.reported_at = measured_at
     estimate.started_since_report = 0
-    estimate.valid_until = -math.inf
+
+
+def record_start(estimate: Estimate, now: float) -> None:
+    """Count an own attempt as in flight."""
+    if not (estimate.in_flight or _is_silent(estimate, now)):
+        estimate.unanswered_since = now
+    estimate.started_at = now
+    estimate.in_flight += 1
+    estimate.started_since_report += 1
+
+
+def record_end(estimate: Estimate, result: AttemptResult, now: float) -> None:
+    """Count an own attempt as no longer in flight."""
+    estimate.in_flight = max(estimate.in_flight - 1, 0)
+    is_silent = _is_silent(estimate, now)
+    if result in _ANSWERS:
+        estimate.unanswered_since = now if estimate.in_flight else math.inf
+    elif not (estimate.in_flight or is_silent):
+        estimate.unanswered_since = math.inf
 
 
 def record_result(
@@ -111,14 +146,13 @@
         refused_wait = _REFUSED_WAIT * estimate.service_time
         latency += refused_wait + estimate.service_time
     _adjust_trust(estimate, latency, now)
-    fade = math.exp((estimate.observed_at - now) / _OBSERVATION_DECAY_SECONDS)
+    fade = _fade(now - estimate.observed_at)
     count = min(estimate.observations * fade + 1, _MAX_OBSERVATIONS)
     failed = 1 if result is AttemptResult.FAILED else 0
     estimate.observed += (latency - estimate.observed) / count
     estimate.failure_share += (failed - estimate.failure_share) / count
     estimate.observations = count
     estimate.observed_at = now
-    estimate.valid_until = -math.inf
 
 
 def _adjust_trust(estimate: Estimate, latency: float, now: float) -> None:
@@ -160,7 +194,7 @@
 
 
 def refresh_cost(estimate: Estimate, now: float) -> float:
-    """Compute the cost without the wait for own slots."""
+    """Return the cost without the wait for own slots."""
     base = estimate.delay + estimate.service_time
     own_weight = _OWN_WEIGHT * _count_at(estimate, now)
     observed = max(estimate.observed, estimate.delay)
@@ -172,8 +206,7 @@
         expected, weight = base + spread, 1
         observed += spread
     total = own_weight * observed + weight * expected
-    estimate.cost = total / (own_weight + weight) + _risk(estimate, now)
-    return estimate.cost
+    return total / (own_weight + weight) + _risk(estimate, now)
 
 
 def _expected_of_vm(estimate: Estimate, now: float) -> tuple[float, float]:
@@ -188,11 +221,24 @@
 
 
 def _count_at(estimate: Estimate, now: float) -> float:
-    age = now - estimate.observed_at
-    return estimate.observations * math.exp(-age / _OBSERVATION_DECAY_SECONDS)
+    return estimate.observations * _fade(now - estimate.observed_at)
+
+
+def _fade(age: float) -> float:
+    return math.exp(-age / _OBSERVATION_DECAY_SECONDS)
+
+
+def _is_silent(estimate: Estimate, now: float) -> bool:
+    silence = now - estimate.unanswered_since
+    usual = estimate.delay + estimate.service_time
+    return silence > _MIN_SILENCE_SECONDS + _SILENT_TIMES * usual
 
 
 def _risk(estimate: Estimate, now: float) -> float:
+    if _is_silent(estimate, now):
+        # It is tried again when the time since the last start is long.
+        fade = _fade(now - estimate.started_at)
+        return fade * _FAILURE_COST * estimate.service_time
     if not estimate.failure_share:
         return 0
     count = _count_at(estimate, now)
--- a/libraries/steering/plantainstand_steering/_hedge.py
+++ b/libraries/steering/plantainstand_steering/_hedge.py
@@ -36,7 +36,7 @@
     time_left: timedelta
 
     budget_available: int
-    """:attr:`~plantainstand_steering.RetryBudget.available`."""
+    """:attr:`~plantainstand_steering.RetryBudget.available_for_hedges`."""
 
     tried: Sequence[Candidate]
     """Candidates that already have an attempt of the request."""
@@ -77,7 +77,7 @@
         """Return the candidate for a hedge, or ``None`` for no hedge.
 
         The caller then pays with
-        :meth:`~plantainstand_steering.RetryBudget.try_spend`.
+        :meth:`~plantainstand_steering.RetryBudget.try_spend_on_hedge`.
         """
         if not facts.idempotent or facts.budget_available < 1:
             return None
--- a/libraries/steering/plantainstand_steering/_queue.py
+++ b/libraries/steering/plantainstand_steering/_queue.py
@@ -10,6 +10,8 @@
 
 _SECOND = timedelta(seconds=1)
 _SERVICE_TIME_STEP = 0.05
+# Iterating over an enumeration is slow, and this runs for every request.
+CLASSES = tuple(TrafficClass)
 
 
 @dataclass(frozen=True)
@@ -47,7 +49,7 @@
         self._length = length
         self._service_seconds = service_time / _SECOND
         self._classes: dict[TrafficClass, OrderedDict[RequestId, Waiting]] = {
-            member: OrderedDict() for member in TrafficClass
+            member: OrderedDict() for member in CLASSES
         }
         self._waiting: dict[RequestId, Waiting] = {}
         self._expiries: list[tuple[timedelta, int, RequestId]] = []
@@ -105,7 +107,7 @@
 
         It is the newest one of the lowest class, if that class is lower.
         """
-        for member in reversed(TrafficClass):
+        for member in reversed(CLASSES):
             if member is traffic_class:
                 return None
             if self._classes[member]:
@@ -140,7 +142,7 @@
 
     def _ahead_of(self, traffic_class: TrafficClass) -> int:
         ahead = 0
-        for member in TrafficClass:
+        for member in CLASSES:
             ahead += len(self._classes[member])
             if member is traffic_class:
                 break
--- a/libraries/steering/plantainstand_steering/_ranking.py
+++ b/libraries/steering/plantainstand_steering/_ranking.py
@@ -2,26 +2,17 @@
 
 import math
 from bisect import insort
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Sequence
 from datetime import timedelta
 from operator import itemgetter
-from random import Random
 from typing import TypeAlias
 
 from plantainstand_steering._candidate import CandidateId, RankedCandidate
-from plantainstand_steering._estimate import (
-    Estimate,
-    has_free_slot,
-    refresh_cost,
-)
+from plantainstand_steering._estimate import Estimate, has_free_slot
 from plantainstand_steering._view import ServiceView
 
 # A first attempt, a retry and a hedge.
 _DEFAULT_LIMIT = 3
-# VMs with the same reports would otherwise all pick the same candidate.
-_JITTER = 0.1
-# A cost changes with age only; this is short against the report interval.
-_COST_LIFETIME_SECONDS = 0.05
 
 _Scored: TypeAlias = tuple[float, Estimate]
 _cost_of = itemgetter(0)
@@ -29,7 +20,6 @@
 
 def rank_candidates(
     view: ServiceView,
-    random_source: Random,
     *,
     queued: int = 0,
     excluded: Collection[CandidateId] = (),
@@ -41,50 +31,68 @@
     for a slot of a local target. ``excluded`` are candidates that the request
     has already tried.
     """
-    now = view.clock.monotonic().total_seconds()
+    now = view.seconds()
     local_wait = (queued + 1) / max(view.local_slots, 1)
-    costs = _costs(view, excluded, now, local_wait)
-    scored: list[_Scored] = []
-    bound = math.inf
-    for estimate, certain in costs:
-        # The list is ordered by delay, and no cost is below the delay.
-        if estimate.delay >= bound:
+    shortlist = _Shortlist(limit, local_wait, excluded)
+    order = view.order
+    for touched in order.touched(now):
+        shortlist.offer(touched)
+    for estimate in order.cheapest_first():
+        if estimate.cost >= shortlist.bound:
             break
-        cost = certain * (1 + _JITTER * random_source.random())
-        if cost < bound:
-            insort(scored, (cost, estimate), key=_cost_of)
-            bound = _cut(scored, limit)
+        shortlist.offer(estimate)
     return tuple(
         RankedCandidate(
-            ranked.candidate,
+            listed.candidate,
             timedelta(seconds=cost),
-            has_free_slot(ranked, now),
+            has_free_slot(listed, now),
         )
-        for cost, ranked in scored
+        for cost, listed in shortlist.scored
     )
 
 
-def _cut(scored: list[_Scored], limit: int) -> float:
-    if len(scored) > limit:
-        scored.pop()
-    return scored[-1][0] if len(scored) == limit else math.inf
+def choose_free_target(
+    view: ServiceView,
+    excluded: Collection[CandidateId] = (),
+) -> CandidateId | None:
+    """Return the cheapest local target with a free slot, if there is one."""
+    now = view.seconds()
+    order = view.order
+    free = (
+        (order.cost(estimate, now), estimate)
+        for estimate in order.local
+        if estimate.in_flight < estimate.slots
+        and estimate.candidate.candidate_id not in excluded
+    )
+    chosen = min(free, key=_cost_of, default=None)
+    return None if chosen is None else chosen[1].candidate.candidate_id
 
 
-def _costs(
-    view: ServiceView,
-    excluded: Collection[CandidateId],
-    now: float,
-    local_wait: float,
-) -> Iterator[tuple[Estimate, float]]:
-    for estimate in view.nearest_first:
-        if estimate.candidate.candidate_id not in excluded:
-            yield estimate, _cost(estimate, now, local_wait)
+class _Shortlist:
+    """The cheapest candidates offered so far."""
 
+    def __init__(
+        self,
+        limit: int,
+        local_wait: float,
+        excluded: Collection[CandidateId],
+    ):
+        self.bound = math.inf
+        self.scored: list[_Scored] = []
+        self._limit = limit
+        self._local_wait = local_wait
+        self._excluded = excluded
 
-def _cost(estimate: Estimate, now: float, local_wait: float) -> float:
-    if now > estimate.valid_until:
-        refresh_cost(estimate, now)
-        estimate.valid_until = now + _COST_LIFETIME_SECONDS
-    if estimate.is_vm or estimate.in_flight < estimate.slots:
-        return estimate.cost
-    return estimate.cost + local_wait * estimate.service_time
+    def offer(self, estimate: Estimate) -> None:
+        cost = estimate.cost
+        if not estimate.is_vm and estimate.in_flight >= estimate.slots:
+            cost += self._local_wait * estimate.service_time
+        if cost >= self.bound:
+            return
+        if estimate.candidate.candidate_id in self._excluded:
+            return
+        insort(self.scored, (cost, estimate), key=_cost_of)
+        if len(self.scored) > self._limit:
+            self.scored.pop()
+        if len(self.scored) == self._limit:
+            self.bound = self.scored[-1][0]
--- a/libraries/steering/plantainstand_steering/_retry.py
+++ b/libraries/steering/plantainstand_steering/_retry.py
@@ -7,8 +7,12 @@
 # Whole millionths, because a sum of binary fractions such as 0.1 drifts.
 _TOKEN = 1_000_000
 _DEFAULT_RATIO = 0.1
-_DEFAULT_CAPACITY = 10
-_DEFAULT_INITIAL = 1
+# A lost zone fails every request in flight there at once; a capacity of 10
+# left most of them without their one retry.
+_DEFAULT_CAPACITY = 100
+_DEFAULT_INITIAL = 10
+# Kept for retries, because a retry saves a request and a hedge only time.
+_HEDGE_RESERVE = 20
 
 
 class RetryBudget:
@@ -34,17 +38,27 @@
         """Whole attempts that can be paid now."""
         return self._balance // _TOKEN
 
+    @property
+    def available_for_hedges(self) -> int:
+        """Whole hedges that can be paid now; some tokens are kept."""
+        kept = min(_HEDGE_RESERVE * _TOKEN, self._capacity // 2)
+        return max(self._balance - kept, 0) // _TOKEN
+
     def record_success(self) -> None:
         """Add the share of one successful request."""
         self._balance = min(self._balance + self._earned, self._capacity)
 
     def try_spend(self) -> bool:
-        """Pay one retry or hedge; return whether there was a token."""
+        """Pay one retry; return whether there was a token."""
         if self._balance < _TOKEN:
             return False
         self._balance -= _TOKEN
         return True
 
+    def try_spend_on_hedge(self) -> bool:
+        """Pay one hedge; return whether there was a token for it."""
+        return self.available_for_hedges > 0 and self.try_spend()
+
 
 class AttemptOutcome(Enum):
     """What is known about an attempt that brought no answer."""
--- a/libraries/steering/plantainstand_steering/_scheduler.py
+++ b/libraries/steering/plantainstand_steering/_scheduler.py
@@ -10,6 +10,7 @@
 from plantainstand_core import Clock, RequestId, ServiceId, TrafficClass
 
 from plantainstand_steering._queue import (
+    CLASSES,
     AdmissionQueue,
     QueuedRequest,
     Waiting,
@@ -118,7 +119,7 @@
         To be called whenever a grant was released or a limit has grown.
         """
         ended: list[Admission[GrantT]] = list(self.expire())
-        for traffic_class in TrafficClass:
+        for traffic_class in CLASSES:
             ended.extend(self._start_class(traffic_class))
         return ended
 
@@ -224,14 +225,14 @@
 
 
 def _classes_through(traffic_class: TrafficClass) -> Iterator[TrafficClass]:
-    for member in TrafficClass:
+    for member in CLASSES:
         yield member
         if member is traffic_class:
             return
 
 
 def _drain(queue: AdmissionQueue) -> Iterator[Waiting]:
-    for traffic_class in TrafficClass:
+    for traffic_class in CLASSES:
         waiting = queue.head(traffic_class)
         while waiting is not None:
             queue.remove(waiting.request.request_id)
--- a/libraries/steering/plantainstand_steering/_view.py
+++ b/libraries/steering/plantainstand_steering/_view.py
@@ -1,8 +1,9 @@
 """What one VM knows about the candidates of one service."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 
 from plantainstand_core import Clock
 
@@ -16,9 +17,12 @@
     Estimate,
     accept_report,
     new_estimate,
+    record_end,
     record_result,
+    record_start,
     replace_candidate,
 )
+from plantainstand_steering._order import CostOrder
 
 # Weight of one answer in the mean latency over all candidates.
 _MEAN_STEP = 0.01
@@ -36,11 +40,17 @@
 class ServiceView:
     """Own in-flight counts, own results and reports of one service."""
 
-    def __init__(self, candidates: Iterable[Candidate], clock: Clock):
+    def __init__(
+        self,
+        candidates: Iterable[Candidate],
+        clock: Clock,
+        random_source: Random,
+    ):
         """Start without observations."""
+        self._random = random_source
         self._clock = clock
         self._estimates: dict[CandidateId, Estimate] = {}
-        self._nearest_first: Sequence[Estimate] = ()
+        self._order = CostOrder((), random_source)
         self._attempts: dict[int, Attempt] = {}
         self._next_number = 0
         self._local_slots = 0
@@ -49,19 +59,18 @@
         self.replace_candidates(candidates)
 
     @property
-    def nearest_first(self) -> Sequence[Estimate]:
-        """Candidates with slots, ordered by network delay."""
-        return self._nearest_first
+    def order(self) -> CostOrder:
+        """Usable candidates that have slots."""
+        return self._order
 
     @property
     def local_slots(self) -> int:
         """Sum of the slots owned at local targets."""
         return self._local_slots
 
-    @property
-    def clock(self) -> Clock:
-        """Clock of the attempts and reports."""
-        return self._clock
+    def seconds(self) -> float:
+        """Return the monotonic time."""
+        return self._clock.monotonic().total_seconds()
 
     def in_flight(self, candidate_id: CandidateId) -> int:
         """Return the number of own attempts that have not ended."""
@@ -100,6 +109,7 @@
         if estimate is not None:
             self._share_service_time(estimate)
             accept_report(estimate, report)
+            self._order.touch(estimate)
 
     def start(self, candidate_id: CandidateId) -> Attempt:
         """Count a request as in flight at a candidate."""
@@ -109,9 +119,8 @@
         self._attempts[attempt.number] = attempt
         estimate = self._estimates.get(candidate_id)
         if estimate is not None:
-            estimate.in_flight += 1
-            estimate.started_since_report += 1
-            estimate.valid_until = 0
+            record_start(estimate, now.total_seconds())
+            self._order.touch(estimate)
         return attempt
 
     def finish(self, attempt: Attempt, result: AttemptResult) -> None:
@@ -120,11 +129,11 @@
         estimate = self._estimates.get(attempt.candidate_id)
         if estimate is None:
             return
-        estimate.in_flight = max(estimate.in_flight - 1, 0)
-        estimate.valid_until = 0
+        now = self._clock.monotonic()
+        record_end(estimate, result, now.total_seconds())
+        self._order.touch(estimate)
         if result is AttemptResult.CANCELLED:
             return
-        now = self._clock.monotonic()
         latency = (now - attempt.started_at).total_seconds()
         record_result(estimate, result, latency, now.total_seconds())
         if result is AttemptResult.ANSWERED and not estimate.is_vm:
@@ -143,19 +152,13 @@
             estimate.service_time = self._service_time
 
     def _reorder(self) -> None:
-        usable = (
+        usable = [
             estimate
             for estimate in self._estimates.values()
             if estimate.slots > 0
             and estimate.candidate.candidate_id not in self._ejected
-        )
-        self._nearest_first = tuple(sorted(usable, key=_delay))
+        ]
+        self._order = CostOrder(usable, self._random)
         self._local_slots = sum(
-            estimate.slots
-            for estimate in self._nearest_first
-            if not estimate.is_vm
+            estimate.slots for estimate in self._order.local
         )
-
-
-def _delay(estimate: Estimate) -> float:
-    return estimate.delay
