--- a/libraries/daemon/plantainstand_daemon/_admission.py
+++ b/libraries/daemon/plantainstand_daemon/_admission.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import count
-from random import Random
 
 from plantainstand_core import Clock, RequestId, ServiceId
 from plantainstand_shares import Reservation, ShareLedger
@@ -49,10 +48,9 @@
 class SlotAdmission:
     """Queues and shares of this VM; owned by the event loop."""
 
-    def __init__(self, clock: Clock, random_source: Random) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Start without services; :meth:`apply` brings them."""
         self._clock = clock
-        self._random = random_source
         self._numbers = count()
         self._waiters: dict[RequestId, _Waiter] = {}
         self._runtimes: Mapping[ServiceId, ServiceRuntime] = {}
@@ -160,7 +158,7 @@
         waiter = self._waiters.get(queued.request_id)
         excluded = waiter.excluded if waiter else frozenset()
         now = self._clock.monotonic()
-        for local in _ranked_targets(runtime, self._random, excluded):
+        for local in _ranked_targets(runtime, excluded):
             reserved = holding.ledger.reserve(local.claims, now)
             if reserved.is_ok():
                 return Grant(
@@ -180,12 +178,10 @@
 
 def _ranked_targets(
     runtime: ServiceRuntime,
-    random_source: Random,
     excluded: frozenset[CandidateId],
 ) -> Sequence[LocalTarget]:
     ranked = rank_candidates(
         runtime.view,
-        random_source,
         excluded=excluded.union(runtime.peers),
         limit=max(len(runtime.targets), 1),
     )
--- a/libraries/daemon/plantainstand_daemon/_daemon.py
+++ b/libraries/daemon/plantainstand_daemon/_daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import AsyncExitStack, ExitStack
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 from random import SystemRandom
@@ -48,7 +49,21 @@
 _DISPATCH_THREADS = 256
 
 
-async def run_daemon(settings: DaemonSettings) -> Result[None, StorageProblem]:
+@dataclass(frozen=True)
+class ListenProblem:
+    """An address of the settings that cannot be listened on."""
+
+    message: str
+
+    def __str__(self) -> str:
+        """Return the text shown to an operator."""
+        return self.message
+
+
+StartProblem = StorageProblem | ListenProblem
+
+
+async def run_daemon(settings: DaemonSettings) -> Result[None, StartProblem]:
     """Run until SIGTERM or SIGINT, then leave gracefully."""
     async with AsyncExitStack() as stack:
         instruments = _open_instruments(stack, settings)
@@ -66,8 +81,7 @@
         if isinstance(built, Err):
             return built
         daemon = _Daemon(settings, built.ok_value, resources, instruments)
-        await daemon.run(stack)
-    return Ok(None)
+        return await daemon.run(stack)
 
 
 def _open_instruments(
@@ -121,8 +135,18 @@
             instruments,
         )
 
-    async def run(self, stack: AsyncExitStack) -> None:
+    async def run(self, stack: AsyncExitStack) -> Result[None, StartProblem]:
         """Start everything, wait for the stop signal, and leave."""
+        try:
+            await self._start(stack)
+        except OSError as problem:
+            return Err(ListenProblem(f'cannot listen: {problem.strerror}'))
+        _log.info('started', vm=self._settings.vm)
+        await self._stopping.wait()
+        await self._leave()
+        return Ok(None)
+
+    async def _start(self, stack: AsyncExitStack) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stopping.set)
         self._plane.state.add_listener(self._schedule_apply)
@@ -132,9 +156,6 @@
         web_stack = ExitStack()
         stack.push_async_callback(asyncio.to_thread, web_stack.close)
         await asyncio.to_thread(self._start_web_server, web_stack)
-        _log.info('started', vm=self._settings.vm)
-        await self._stopping.wait()
-        await self._leave()
 
     async def _start_rpc_server(self, stack: AsyncExitStack) -> None:
         steering = SteeringService(
--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -94,7 +94,6 @@
         self._clock = instruments.clock
         self._metrics = instruments.metrics
         self._tracing = instruments.tracing
-        self._random = instruments.random_source
 
     async def steer(self, request: SteeredRequest) -> Reply:
         """Find a target for a request and return what came of it."""
@@ -152,7 +151,6 @@
             excluded.update(progress.runtime.targets)
         return rank_candidates(
             progress.runtime.view,
-            self._random,
             queued=len(progress.runtime.queue),
             excluded=excluded,
         )
--- a/libraries/daemon/plantainstand_daemon/_main.py
+++ b/libraries/daemon/plantainstand_daemon/_main.py
@@ -10,19 +10,20 @@
 from plantainstand_telemetry import configure_logs
 from result import Err
 
-from plantainstand_daemon._daemon import run_daemon
+from plantainstand_daemon._daemon import ListenProblem, run_daemon
 from plantainstand_daemon._settings import DaemonSettings, load_daemon_settings
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
+EXIT_LISTEN = 4
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon; return its exit code.
 
     0 after a graceful stop, 2 for bad arguments or settings, 3 when the data
-    folder cannot be used.
+    folder cannot be used, 4 when an address cannot be listened on.
     """
     options = _parser().parse_args(arguments)
     loaded = load_daemon_settings(options.settings)
@@ -36,7 +37,9 @@
     configure_logs(settings.logs.format, settings.logs.level)
     ended = asyncio.run(run_daemon(settings))
     if isinstance(ended, Err):
-        return _fail(EXIT_STORAGE, str(ended.err_value))
+        is_listen = isinstance(ended.err_value, ListenProblem)
+        code = EXIT_LISTEN if is_listen else EXIT_STORAGE
+        return _fail(code, str(ended.err_value))
     return EXIT_OK
 
 
@@ -45,7 +48,8 @@
         prog='plantainstandd',
         description='Daemon of the plantainstand traffic steering system.',
         epilog='Exit codes: 0 stopped gracefully, 2 bad arguments or '
-        'settings, 3 the data folder cannot be used.',
+        'settings, 3 the data folder cannot be used, 4 an address cannot be '
+        'listened on.',
     )
     parser.add_argument(
         '--settings',
--- a/libraries/daemon/plantainstand_daemon/_services.py
+++ b/libraries/daemon/plantainstand_daemon/_services.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 
 from plantainstand_catalogue import DrainSubjectKind, Service, Target
 from plantainstand_core import (
@@ -95,10 +96,11 @@
 class ServiceTable:
     """Runtimes of all services, replaced when the control state changes."""
 
-    def __init__(self, place: Place, clock: Clock) -> None:
+    def __init__(self, place: Place, clock: Clock, random: Random) -> None:
         """Start without services."""
         self._place = place
         self._clock = clock
+        self._random = random
         self._runtimes: dict[ServiceId, ServiceRuntime] = {}
         self._pacers: dict[ResourceId, TargetPacer] = {}
 
@@ -155,7 +157,7 @@
     def _new_runtime(self, service: Service) -> ServiceRuntime:
         return ServiceRuntime(
             service,
-            ServiceView((), self._clock),
+            ServiceView((), self._clock, self._random),
             AdmissionQueue(
                 service.limits.queue_length,
                 _EXPECTED_SERVICE_TIME,
--- a/libraries/daemon/plantainstand_daemon/_steering_parts.py
+++ b/libraries/daemon/plantainstand_daemon/_steering_parts.py
@@ -64,7 +64,11 @@
         self._clock = instruments.clock
         self._metrics = instruments.metrics
         self._entries = EntrySnapshot(0, (), {})
-        self._table = ServiceTable(self._place, instruments.clock)
+        self._table = ServiceTable(
+            self._place,
+            instruments.clock,
+            instruments.random_source,
+        )
         self._view = plane.state.view()
         self.activity = Activity()
         self.control = ControlClient(
@@ -72,10 +76,7 @@
             resources.channels,
             instruments.clock,
         )
-        self._admission = SlotAdmission(
-            instruments.clock,
-            instruments.random_source,
-        )
+        self._admission = SlotAdmission(instruments.clock)
         self.exchange = Exchange(
             self._place,
             resources.channels,
