Add plantainstandctl

Operators change the catalogue and announce drains only through this tool, and answers get lost.

Ruled out: printing only the operation id of a change whose outcome is unknown, because a repeated put or remove would read a newer revision and so be another change under the same id, which is refused; the expected revision is printed with it. Ruled out: importing the daemon's settings type at the top, because operators' machines need no daemon.

Change: command line, client that tries the addresses in three rounds and sends a change again under its operation id, commands, exit codes, typed bodies of the operators' API, tests against a fake daemon on loopback that holds a real catalogue state and loses answers by script.

The daemon side does not exist yet, so the tool has run only against the fake.

--- /dev/null
+++ b/tests/ctl/fake_daemon.py
@@ -0,0 +1,200 @@
+"""A daemon's operators' API on loopback, on top of the real catalogue."""
+
+import threading
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from functools import partial
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+from plantainstand_catalogue import (
+    AnnounceDrain,
+    CatalogueCommand,
+    ChangeAccepted,
+    ChangeInvalid,
+    ChangeOutcome,
+    DrainSubjectKind,
+    RemoveEntry,
+    RevisionConflict,
+    WithdrawDrain,
+)
+from plantainstand_core import EntryId, LogIndex, OperationId, Revision, VmId
+from plantainstand_ctl import (
+    ChangeBody,
+    ChangeStatus,
+    ConflictBody,
+    DrainItem,
+    DrainList,
+    DrainProgress,
+    DrainState,
+    EntryItem,
+    EntryList,
+    ErrorBody,
+    InvalidBody,
+    PutEntryBody,
+    VmItem,
+    VmList,
+)
+
+from tests.catalogue import examples
+
+# Faults that a test can order, one for each change that arrives.
+LOSE_ANSWER = 'the change is applied and the connection closed'
+UNKNOWN_YET = 'the change is applied and 504 returned'
+NO_MAJORITY = 'nothing is applied and 503 returned'
+
+Reply = tuple[int, object]
+
+
+class FakeDaemon:
+    """Answers calls from a catalogue state and a script of faults."""
+
+    def __init__(self, faults: Sequence[str] = ()):
+        """Start with the example catalogue."""
+        self.state = examples.filled_state()
+        self.faults = list(faults)
+        self.index = 100
+        self.operation_ids: list[str] = []
+        self.progress = [DrainState.DRAINING, DrainState.DRAINED]
+        self.pending = ['vm-2']
+        self.cancel_outcome = 'not-run'
+
+    def reply(self, method: str, path: str, body: bytes) -> Reply | None:
+        """Return status and body, or nothing for a closed connection."""
+        url = urlsplit(path)
+        if method == 'GET':
+            return self._read(url.path.split('/')[3:])
+        if url.path.startswith('/v1/requests/'):
+            return 200, ErrorBody('')
+        query = {name: found[0] for name, found in parse_qs(url.query).items()}
+        command = _command(method, url.path.split('/')[3:], query, body)
+        return self._change(command)
+
+    def _change(self, command: CatalogueCommand) -> Reply | None:
+        fault = self.faults.pop(0) if self.faults else None
+        self.operation_ids.append(command.operation_id)
+        if fault == NO_MAJORITY:
+            return 503, ErrorBody('no majority')
+        self.index += 1
+        outcome = self.state.apply(command, LogIndex(self.index))
+        if fault == UNKNOWN_YET:
+            return 504, ErrorBody('not known yet')
+        return None if fault == LOSE_ANSWER else _outcome_reply(outcome)
+
+    def _read(self, parts: Sequence[str]) -> Reply:
+        view = self.state.view()
+        match parts:
+            case ['entries']:
+                items = [EntryItem(*found) for found in view.entries.values()]
+                return 200, EntryList(view.revision, items)
+            case ['entries', kind, name]:
+                found = view.entries.get(EntryId(f'{kind}/{name}'))
+                if found is None:
+                    return 404, ErrorBody(f'there is no entry {kind}/{name}')
+                return 200, EntryItem(*found)
+            case ['drains']:
+                return 200, DrainList(
+                    [
+                        DrainItem(
+                            DrainSubjectKind(subject.kind), subject.name, put
+                        )
+                        for subject, put in view.drains.items()
+                    ]
+                )
+            case ['drains', _, _]:
+                return 200, DrainProgress(self.progress.pop(0), 3, ['vm-1'])
+        return self._read_status(parts)
+
+    def _read_status(self, parts: Sequence[str]) -> Reply:
+        zone = examples.target('any').availability_zone
+        pending = [VmId(vm) for vm in self.pending]
+        match parts:
+            case ['vms']:
+                vm = VmItem(VmId('vm-2'), zone, 'live', Revision(3))
+                return 200, VmList([vm])
+            case ['changes', revision]:
+                return 200, ChangeStatus(Revision(int(revision)), [], pending)
+            case ['requests', '404']:
+                return 404, ErrorBody('no record')
+            case ['requests', name]:
+                return 200, {'request_id': name, 'outcome': 'unknown', 'new': 1}
+        return 200, 'not the expected body'
+
+
+def _command(
+    method: str,
+    parts: Sequence[str],
+    query: dict[str, str],
+    body: bytes,
+) -> CatalogueCommand:
+    kind, name = parts[1:]
+    if parts[0] == 'drains':
+        drain = AnnounceDrain if method == 'PUT' else WithdrawDrain
+        operation_id = OperationId(query['operation_id'])
+        return drain(operation_id, DrainSubjectKind(kind), name)
+    if method == 'PUT':
+        put = msgspec.json.decode(body, type=PutEntryBody)
+        return examples.put(put.entry, put.operation_id, put.expected_revision)
+    return RemoveEntry(
+        OperationId(query['operation_id']),
+        EntryId(f'{kind}/{name}'),
+        Revision(int(query['expected_revision'])),
+    )
+
+
+def _outcome_reply(outcome: ChangeOutcome) -> Reply:
+    match outcome:
+        case ChangeAccepted():
+            return 200, ChangeBody(outcome.revision)
+        case RevisionConflict():
+            return 409, ConflictBody(outcome.current_revision, outcome.current)
+        case ChangeInvalid():
+            return 422, InvalidBody(outcome.problems)
+
+
+class _Handler(BaseHTTPRequestHandler):
+    def __init__(self, daemon: FakeDaemon, *arguments: Any):
+        self._daemon = daemon
+        super().__init__(*arguments)
+
+    def log_message(self, *_arguments: object) -> None:
+        """Keep the test output clean."""
+
+    def do_GET(self) -> None:
+        self._serve()
+
+    def do_PUT(self) -> None:
+        self._serve()
+
+    def do_DELETE(self) -> None:
+        self._serve()
+
+    def _serve(self) -> None:
+        body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        reply = self._daemon.reply(self.command, self.path, body)
+        if reply is None:
+            return
+        payload = msgspec.json.encode(reply[1])
+        self.send_response(reply[0])
+        self.send_header('Content-Length', str(len(payload)))
+        self.send_header('Request-Outcome', self._daemon.cancel_outcome)
+        self.end_headers()
+        self.wfile.write(payload)
+
+
+@contextmanager
+def serve(daemon: FakeDaemon) -> Iterator[str]:
+    """Serve a fake daemon on a free port; yield its address."""
+    with ExitStack() as stack:
+        server = ThreadingHTTPServer(
+            ('127.0.0.1', 0),
+            partial(_Handler, daemon),
+        )
+        stack.callback(server.server_close)
+        thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(server.shutdown)
+        yield f'127.0.0.1:{server.server_port}'
--- /dev/null
+++ b/tests/ctl/test_commands.py
@@ -0,0 +1,260 @@
+"""plantainstandctl against fake daemons: outputs, exit codes, resends."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from collections.abc import Sequence
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from plantainstand_ctl import ExitCode, run_command
+
+from tests.catalogue import examples
+from tests.ctl.fake_daemon import (
+    LOSE_ANSWER,
+    NO_MAJORITY,
+    UNKNOWN_YET,
+    FakeDaemon,
+    serve,
+)
+
+# Port 9, discard, is not served on a loopback address.
+_CLOSED = '127.0.0.1:9'
+
+_ENTRY = json.loads(msgspec.json.encode(examples.region('sul')))
+_ENTRIES = json.loads(msgspec.json.encode(examples.ENTRIES))
+
+# Command line, content of FILE, exit code, part of the output or error.
+_COMMANDS: tuple[tuple[str, object, ExitCode, str], ...] = (
+    ('catalogue list', None, ExitCode.DONE, 'target/catalogue-2  revision 9'),
+    ('catalogue get region/bajio', None, ExitCode.DONE, 'revision 1'),
+    ('catalogue get region/x', None, ExitCode.NOT_FOUND, 'no entry region/x'),
+    ('catalogue put FILE', _ENTRY, ExitCode.DONE, 'put, revision 101'),
+    (
+        'catalogue put FILE --expected-revision 7',
+        _ENTRY,
+        ExitCode.CONFLICT,
+        'does not exist',
+    ),
+    (
+        'catalogue put FILE --expected-revision 0',
+        _ENTRIES[0],
+        ExitCode.CONFLICT,
+        '"id":"bajio"',
+    ),
+    (
+        'catalogue put FILE',
+        {**_ENTRY, 'zone_delay_ms': -1, 'ower': 'x'},
+        ExitCode.INVALID,
+        'did you mean `owner`?',
+    ),
+    ('catalogue put MISSING', None, ExitCode.INVALID, 'MISSING'),
+    (
+        'catalogue remove target/catalogue-1',
+        None,
+        ExitCode.DONE,
+        'removed, revision 101',
+    ),
+    (
+        'catalogue remove region/bajio',
+        None,
+        ExitCode.INVALID,
+        'availability_zone/bajio-a refers to it; remove',
+    ),
+    (
+        'catalogue remove region/sul',
+        None,
+        ExitCode.NOT_FOUND,
+        'there is no entry region/sul',
+    ),
+    (
+        'catalogue apply FILE',
+        {'entries': [_ENTRY, *_ENTRIES]},
+        ExitCode.DONE,
+        'put region/sul, revision 101',
+    ),
+    (
+        'catalogue apply FILE',
+        {'entries': _ENTRIES},
+        ExitCode.DONE,
+        'as in the file',
+    ),
+    (
+        'catalogue apply FILE --prune',
+        {'entries': _ENTRIES[:1]},
+        ExitCode.DONE,
+        'remove region/norte, revision 108',
+    ),
+    (
+        'catalogue apply FILE --prune --dry-run',
+        {'entries': []},
+        ExitCode.DONE,
+        'would remove region/bajio',
+    ),
+    (
+        'catalogue check FILE',
+        {'entries': _ENTRIES[2:]},
+        ExitCode.INVALID,
+        'there is no entry region/bajio; add',
+    ),
+    ('catalogue check FILE', {'entries': []}, ExitCode.DONE, '0 entries'),
+    ('settings check FILE', {'limit': 5}, ExitCode.DONE, 'valid'),
+    ('settings check FILE', {'limits': 5}, ExitCode.INVALID, 'did you mean'),
+    ('drain announce vm/vm-1', None, ExitCode.DONE, 'revision 101'),
+    ('drain announce region/x', None, ExitCode.INVALID, 'no such entry'),
+    ('drain withdraw vm/vm-1', None, ExitCode.INVALID, 'no drain is announced'),
+    ('drain list', None, ExitCode.DONE, ''),
+    ('drain wait vm/vm-1', None, ExitCode.DONE, 'drained'),
+    (
+        'drain wait vm/vm-1 --timeout-s 0',
+        None,
+        ExitCode.PENDING,
+        'draining, 3 requests in flight, waiting for vm-1',
+    ),
+    ('status vms', None, ExitCode.DONE, 'vm-2  bajio-a  live  revision 3'),
+    ('status changes', None, ExitCode.PENDING, 'pending at: vm-2'),
+    ('status changes 5', None, ExitCode.PENDING, 'revision 5'),
+    ('request show 1', None, ExitCode.DONE, '1: unknown'),
+    ('request show 404', None, ExitCode.NOT_FOUND, 'no record'),
+    ('request cancel 1', None, ExitCode.DONE, 'never will'),
+)
+
+# Faults of the changes that arrive, exit code, changes that arrive.
+_FAULTS: tuple[tuple[Sequence[str], ExitCode, int], ...] = (
+    ((LOSE_ANSWER,), ExitCode.DONE, 2),
+    ((UNKNOWN_YET, LOSE_ANSWER), ExitCode.DONE, 3),
+    ((NO_MAJORITY,), ExitCode.DONE, 2),
+    ((NO_MAJORITY,) * 3, ExitCode.NO_MAJORITY, 3),
+    ((NO_MAJORITY, LOSE_ANSWER, NO_MAJORITY), ExitCode.UNKNOWN, 3),
+)
+
+_USAGE = (
+    'catalogue list',
+    'catalogue list --address x',
+    'catalogue list --address https://x:1',
+    'catalogue list --address x:1/path',
+    'drain wait vm/a --timeout-s nan --address x:1',
+    'catalogue get bajio --address x:1',
+    'catalogue get zone/bajio-a --address x:1',
+    'drain announce vm/a?b --address x:1',
+    'status changes -1 --address x:1',
+    'catalogue remove region/a --expected-revision x --address x:1',
+)
+
+
+class _Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    limit: int
+
+
+class CommandTest(unittest.TestCase):
+    """Guards against wrong exit codes and messages that do not help."""
+
+    def test_commands(self) -> None:
+        """Each command has its exit code and says what happened."""
+        for line, document, code, expected in _COMMANDS:
+            for output in ('text', 'json'):
+                with self.subTest(line, output=output):
+                    found, text = _run(line, FakeDaemon(), document, output)
+                    self.assertEqual(found, code, text)
+                    self._check_text(text, output, code, expected)
+
+    def test_states(self) -> None:
+        """A change in force everywhere and a request that ran are told."""
+        daemon = FakeDaemon()
+        daemon.pending = []
+        daemon.cancel_outcome = 'answered'
+        code, text = _run('request cancel 1', daemon)
+        self.assertEqual(code, ExitCode.NOT_CANCELLED)
+        self.assertIn('the outcome is answered', text)
+        code, _text = _run('status changes 5', daemon)
+        self.assertEqual(code, ExitCode.DONE)
+
+    def test_faults(self) -> None:
+        """A lost change is sent again under its id and takes effect once."""
+        for faults, code, sent in _FAULTS:
+            with self.subTest(faults=faults):
+                daemon = FakeDaemon(faults)
+                found, text = _run('drain announce vm/vm-1', daemon)
+                self.assertEqual(found, code)
+                self.assertEqual(len(daemon.operation_ids), sent)
+                self.assertEqual(len(set(daemon.operation_ids)), 1)
+                hint = f'--operation-id {daemon.operation_ids[0]}'
+                self.assertEqual(hint in text, code is ExitCode.UNKNOWN)
+
+    def test_repeated_by_hand(self) -> None:
+        """The options that are printed repeat exactly the unknown change."""
+        daemon = FakeDaemon((LOSE_ANSWER,) * 3)
+        line = 'catalogue remove target/catalogue-1'
+        code, text = _run(line, daemon)
+        self.assertEqual(code, ExitCode.UNKNOWN)
+        options = text.partition('repeat the command with ')[2]
+        code, text = _run(f'{line} {options}', daemon)
+        self.assertEqual(code, ExitCode.DONE, text)
+        self.assertIn('revision 101', text)
+
+    def test_unreachable(self) -> None:
+        """No address answers: nothing was sent, after three rounds."""
+        line = f'drain list --address {_CLOSED} --address {_CLOSED}'
+        pauses: list[timedelta] = []
+        code, text = _run_line(line.split(), pauses)
+        self.assertEqual(code, ExitCode.UNREACHABLE)
+        self.assertIn(_CLOSED, text)
+        self.assertEqual(len(pauses), 2)
+
+    def test_usage(self) -> None:
+        """A wrong command line is refused before anything is sent."""
+        for line in _USAGE:
+            with self.subTest(line), self.assertRaises(SystemExit) as stop:
+                _run_line(line.split(), [])
+            self.assertEqual(stop.exception.code, ExitCode.USAGE)
+
+    def test_help(self) -> None:
+        """The help of every command lists the exit codes."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            with self.assertRaises(SystemExit):
+                run_command(['drain', 'wait', '--help'], print, lambda: None)
+        for code in ExitCode:
+            self.assertRegex(output.getvalue(), rf'\n +{int(code)}  ')
+
+    def _check_text(
+        self,
+        text: str,
+        output: str,
+        code: ExitCode,
+        expected: str,
+    ) -> None:
+        if output == 'text':
+            self.assertIn(expected, text)
+            return
+        is_failure = code not in {ExitCode.DONE, ExitCode.PENDING}
+        self.assertEqual('error' in json.loads(text), is_failure)
+
+
+def _run(
+    line: str,
+    daemon: FakeDaemon,
+    document: object = None,
+    output: str = 'text',
+) -> tuple[int, str]:
+    with tempfile.TemporaryDirectory() as folder, serve(daemon) as address:
+        path = Path(folder) / 'file.jsonc'
+        path.write_text(json.dumps(document), encoding='utf-8')
+        arguments = line.replace('FILE', str(path)).split()
+        # The first address is closed: the tool goes on to the next one.
+        options = ['--address', _CLOSED, '--address', address]
+        return _run_line([*arguments, *options, '--output', output], [])
+
+
+def _run_line(
+    arguments: Sequence[str],
+    pauses: list[Any],
+) -> tuple[int, str]:
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        code = run_command(arguments, pauses.append, lambda: _Settings)
+    return code, output.getvalue()
