Follow the daemon's routes for entries and drains

The daemon lists entry VMs with URLs and takes drains as PUT and DELETE on their subject, with the operation id in the query.

--- a/bench/plantainstand_bench/_entry_directory.py
+++ b/bench/plantainstand_bench/_entry_directory.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
-from urllib.parse import urlencode
+from urllib.parse import urlencode, urlsplit
 
 import msgspec
 from plantainstand_core import AvailabilityZoneId
@@ -25,14 +25,14 @@
     """One entry VM of the answer."""
 
     vm: str
-    host: str
-    port: int
+    url: str
     availability_zone: str = ''
 
     @property
     def address(self) -> Address:
         """Where the VM serves callers."""
-        return Address(self.host, self.port)
+        parts = urlsplit(self.url)
+        return Address(parts.hostname or '', parts.port or 0)
 
 
 class EntryList(msgspec.Struct, frozen=True):
@@ -81,7 +81,8 @@
         zone = identity.availability_zone
         shuffled.sort(key=lambda vm: vm.availability_zone != zone)
         self._configured = [
-            ListedEntry(vm.id, vm.host, vm.http_port) for vm in shuffled
+            ListedEntry(vm.id, f'http://{vm.host}:{vm.http_port}')
+            for vm in shuffled
         ]
         self._listed: Sequence[ListedEntry] = ()
         self._fresh_until = float(0)
--- a/bench/plantainstand_bench/_faults.py
+++ b/bench/plantainstand_bench/_faults.py
@@ -114,7 +114,8 @@
 
     method: str
     path: str
-    document: Mapping[str, Any]
+    document: Mapping[str, Any] | None = None
+    """Body; the tool adds the operation id."""
 
 
 AnyFault: TypeAlias = (
--- a/bench/plantainstand_bench/_operator.py
+++ b/bench/plantainstand_bench/_operator.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Mapping, Sequence
 from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
 from plantainstand_core import TargetId
@@ -54,13 +55,20 @@
         self,
         method: str,
         path: str,
-        document: Mapping[str, Any],
+        document: Mapping[str, Any] | None = None,
     ) -> bool:
-        """Send a change; true when a VM has accepted it."""
-        operation = {'operation_id': new_request_id(), **document}
-        body = msgspec.json.encode(operation)
-        headers = {'Content-Type': 'application/json'}
-        request = HttpRequest(method, path, headers, body)
+        """Send a change; true when a VM has accepted it.
+
+        The operation id goes into the document, or into the query of a call
+        that has no body.
+        """
+        operation = {'operation_id': new_request_id()}
+        if document is None:
+            request = HttpRequest(method, f'{path}?{urlencode(operation)}')
+        else:
+            body = msgspec.json.encode({**document, **operation})
+            headers = {'Content-Type': 'application/json'}
+            request = HttpRequest(method, path, headers, body)
         sendings = 1
         while not await self._send_to_first(request):
             if sendings == _MAX_SENDINGS:
@@ -71,14 +79,11 @@
 
     async def announce(self, drain: AnnounceDrain) -> bool:
         """Announce a drain and note when it was accepted."""
-        subject = {
-            'subject_kind': drain.subject_kind,
-            'subject_id': drain.subject_id,
-        }
-        is_accepted = await self.call('POST', _DRAINS_PATH, subject)
+        subject = f'{drain.subject_kind}/{drain.subject_id}'
+        is_accepted = await self.call('PUT', f'{_DRAINS_PATH}/{subject}')
         if is_accepted:
             noted = Drain(
-                subject=f'{drain.subject_kind}/{drain.subject_id}',
+                subject=subject,
                 targets=drained_targets(self._map, drain),
                 announced=time.time(),
             )
@@ -95,7 +100,7 @@
             else noted
             for noted in self._drains
         ]
-        return await self.call('DELETE', f'{_DRAINS_PATH}/{subject}', {})
+        return await self.call('DELETE', f'{_DRAINS_PATH}/{subject}')
 
     async def _send_to_first(self, request: HttpRequest) -> bool:
         for vm in self._vms:
--- a/tests/bench/fake_daemon.py
+++ b/tests/bench/fake_daemon.py
@@ -59,14 +59,15 @@
         if path == '/v1/entries':
             answer = self._entries()
         elif path.startswith('/operator/v1/drains'):
-            answer = self._drain(environment)
+            # Accepted and then not heeded: a broken promise.
+            answer = make_answer(HTTPStatus.OK, {'revision': 1})
         else:
             answer = make_answer(HTTPStatus.OK, {})
         return send_answer(answer, start_response)
 
     def _entries(self) -> Answer:
         entries = [
-            {'vm': vm.id, 'host': vm.host, 'port': vm.http_port}
+            {'vm': vm.id, 'url': f'http://{vm.host}:{vm.http_port}'}
             for vm in self._deployment.vms
         ]
         document = {
@@ -76,11 +77,6 @@
         }
         return make_answer(HTTPStatus.OK, document)
 
-    def _drain(self, environment: Environment) -> Answer:
-        # Accepts the announcement and goes on sending: a broken promise.
-        document = msgspec.json.decode(read_body(environment), type=dict)
-        return make_answer(HTTPStatus.OK, document)
-
     def _forward(
         self,
         environment: Environment,
