--- a/libraries/shares/plantainstand_shares/_grantor.py
+++ b/libraries/shares/plantainstand_shares/_grantor.py
@@ -30,7 +30,7 @@
 from collections.abc import Collection
 from datetime import timedelta
 
-from plantainstand_core import Clock, LogIndex, VmId
+from plantainstand_core import AvailabilityZoneId, Clock, LogIndex, VmId
 
 from plantainstand_shares._commands import ReclaimVm
 from plantainstand_shares._exclusion import Exclusions
@@ -39,9 +39,20 @@
     HeartbeatAnswer,
     HeartbeatStatus,
 )
-from plantainstand_shares._timing import DEFAULT_TIMING, DRIFT, SupportTiming
+from plantainstand_shares._timing import (
+    DEFAULT_TIMING,
+    DRIFT,
+    NEVER,
+    SupportTiming,
+)
 from plantainstand_shares._view import ShareView, VmIncarnation, VmRecord
 
+_EXAMINE_INTERVAL = timedelta(milliseconds=100)
+_NOT_EXAMINED: tuple[timedelta, frozenset[VmIncarnation]] = (
+    NEVER,
+    frozenset(),
+)
+
 
 class SupportGrantor:
     """Support given by one leader during one term."""
@@ -51,12 +62,16 @@
         self._clock = clock
         self._timing = timing
         self._started_at = clock.monotonic()
-        self._quorum_sent_at = timedelta.min
+        self._quorum_sent_at = NEVER
         self._view: ShareView | None = None
         self._answered_at: dict[VmIncarnation, timedelta] = {}
         self._applied: dict[VmIncarnation, LogIndex] = {}
-        self._proposed: set[VmIncarnation] = set()
+        self._proposed: dict[VmIncarnation, set[LogIndex]] = {}
         self._exclusions = Exclusions(timing)
+        self._lapsed_in: dict[
+            AvailabilityZoneId,
+            tuple[timedelta, frozenset[VmIncarnation]],
+        ] = {}
 
     def note_quorum(self, sent_at: timedelta) -> None:
         """Note that a majority of voters answered messages of ``sent_at``."""
@@ -68,13 +83,16 @@
         Called first when the first entry of the leader's own term is applied,
         then after every change.
         """
+        if self._view and self._view.register is view.register:
+            self._view = view
+            return
         self._view = view
+        self._lapsed_in = {}
         self._exclusions.apply(view.register, self._clock.monotonic())
-        for known in (self._answered_at, self._applied):
+        for known in (self._answered_at, self._applied, self._proposed):
             for key in tuple(known):
                 if key not in view.register.records:
                     known.pop(key)
-        self._proposed.intersection_update(view.register.records)
 
     def note_terminated(self, vms: Collection[VmId]) -> None:
         """Note the VMs that the platform's list calls terminated."""
@@ -95,60 +113,67 @@
             heartbeat.applied_index,
             self._applied.get(sender, record.applied_floor),
         )
-        revoke = self._revocations(record)
-        if sender in self._proposed:
-            return HeartbeatAnswer(
-                HeartbeatStatus.UNKNOWN_INCARNATION,
-                revoke,
-            )
-        self._answered_at[sender] = now
-        return HeartbeatAnswer(HeartbeatStatus.SUPPORTED, revoke)
-
-    def is_lapsed(self, key: VmIncarnation) -> bool:
-        """Tell whether leader support has certainly ended."""
-        lease_end = self._last_support(key) + self._timing.lease * DRIFT
-        return self._clock.monotonic() >= lease_end
+        status = HeartbeatStatus.UNKNOWN_INCARNATION
+        if sender not in self._proposed:
+            status = HeartbeatStatus.SUPPORTED
+            self._answered_at[sender] = now
+        lapsed = self._lapsed_peers(record.availability_zone, view, now)
+        if sender in lapsed:
+            self._lapsed_in.pop(record.availability_zone)
+        return HeartbeatAnswer(status, lapsed.difference((sender,)))
 
     def lapsed(self) -> frozenset[VmIncarnation]:
-        """Return the members whose leader support has ended."""
+        """Return the members whose leader support has certainly ended."""
         if self._view is None:
             return frozenset()
+        now = self._clock.monotonic()
         return frozenset(
             record.key
             for record in self._view.register.records.values()
-            if record.is_member and self.is_lapsed(record.key)
+            if record.is_member and now >= self._lease_end(record.key)
         )
 
     def reclaims(self) -> tuple[ReclaimVm, ...]:
         """Return the reclaims to propose now, at most one for each zone.
 
         A proposed incarnation gets no support again, unless
-        :meth:`reclaim_refused` says that its reclaim was not committed.
+        :meth:`reclaim_refused` has been called for every proposal.
         """
         if self._view is None:
             return ()
+        now = self._clock.monotonic()
         due = {
             record.availability_zone: record
             for record in self._view.register.records.values()
-            if record.ended_at is None and self._is_due(record)
+            if record.ended_at is None and self._is_due(record, now)
         }
-        self._proposed.update(record.key for record in due.values())
+        index = self._view.index
+        for record in due.values():
+            self._proposed.setdefault(record.key, set()).add(index)
         return tuple(
-            ReclaimVm(record.vm, record.incarnation, self._view.index)
+            ReclaimVm(record.vm, record.incarnation, index)
             for record in due.values()
         )
 
-    def reclaim_refused(self, key: VmIncarnation) -> None:
-        """Note that the state machine refused a proposed reclaim."""
-        self._proposed.discard(key)
+    def reclaim_refused(self, command: ReclaimVm) -> None:
+        """Note that the state machine refused a proposed reclaim.
 
-    def _is_due(self, record: VmRecord) -> bool:
-        end = self._authority_end(record)
-        if end is None:
-            return False
+        Others of the same incarnation, decided later, may still be accepted.
+        A proposal whose end is not known counts as pending.
+        """
+        key = VmIncarnation(command.vm, command.incarnation)
+        pending = self._proposed.get(key, set())
+        pending.discard(command.decided_at)
+        if not pending:
+            self._proposed.pop(key, None)
+
+    def _is_due(self, record: VmRecord, now: timedelta) -> bool:
         work = timedelta(milliseconds=record.longest_deadline_ms)
-        settled = end + (work + self._timing.dispatch_allowance) * DRIFT
-        return self._clock.monotonic() >= settled
+        settling = (work + self._timing.dispatch_allowance) * DRIFT
+        if now < self._lease_end(record.key) + settling:
+            return False
+        end = self._authority_end(record)
+        return end is not None and now >= end + settling
 
     def _authority_end(self, record: VmRecord) -> timedelta | None:
         if self._view is None:
@@ -162,18 +187,29 @@
         )
         if zone_end is None:
             return None
-        return max(zone_end, last_support + self._timing.lease * DRIFT)
+        return max(zone_end, self._lease_end(record.key))
+
+    def _lease_end(self, key: VmIncarnation) -> timedelta:
+        return self._last_support(key) + self._timing.lease * DRIFT
 
     def _last_support(self, key: VmIncarnation) -> timedelta:
         earlier_leader = self._started_at + self._timing.tenure * DRIFT
-        return max(earlier_leader, self._answered_at.get(key, timedelta.min))
-
-    def _revocations(self, record: VmRecord) -> frozenset[VmIncarnation]:
-        if self._view is None:
-            return frozenset()
-        members = self._view.register.members(record.availability_zone)
-        return frozenset(
-            peer.key
-            for peer in members
-            if peer.key != record.key and self.is_lapsed(peer.key)
-        )
+        return max(earlier_leader, self._answered_at.get(key, NEVER))
+
+    def _lapsed_peers(
+        self,
+        zone: AvailabilityZoneId,
+        view: ShareView,
+        now: timedelta,
+    ) -> frozenset[VmIncarnation]:
+        # Examining the whole zone for each of its heartbeats would cost the
+        # square of its size.
+        examined_at, lapsed = self._lapsed_in.get(zone, _NOT_EXAMINED)
+        if now - examined_at >= _EXAMINE_INTERVAL:
+            lapsed = frozenset(
+                member.key
+                for member in view.register.members(zone)
+                if now >= self._lease_end(member.key)
+            )
+            self._lapsed_in[zone] = (now, lapsed)
+        return lapsed
--- a/libraries/shares/plantainstand_shares/_holder.py
+++ b/libraries/shares/plantainstand_shares/_holder.py
@@ -4,12 +4,10 @@
 
 from plantainstand_core import Clock, VmId
 
-from plantainstand_shares._timing import DEFAULT_TIMING, SupportTiming
+from plantainstand_shares._timing import DEFAULT_TIMING, NEVER, SupportTiming
 from plantainstand_shares._view import ShareView, VmIncarnation
 from plantainstand_shares._zone_support import ZoneAnswer
 
-_NEVER = timedelta.min
-
 
 class SupportHolder:
     """Knows until when one process may use its shares.
@@ -30,9 +28,9 @@
         self._clock = clock
         self._timing = timing
         self._view: ShareView | None = None
-        self._leader_sent_at = _NEVER
+        self._leader_sent_at = NEVER
         self._peer_sent_at: dict[VmId, timedelta] = {}
-        self._until = _NEVER
+        self._until = NEVER
         self._refused = False
 
     @property
@@ -84,35 +82,31 @@
         if answer is ZoneAnswer.REVOKED:
             self._refused = True
         if answer is ZoneAnswer.GIVEN:
-            known = self._peer_sent_at.get(peer, _NEVER)
+            known = self._peer_sent_at.get(peer, NEVER)
             self._peer_sent_at[peer] = max(known, sent_at)
             self._refresh()
 
     def _refresh(self) -> None:
         own = self._view.member(self._owner) if self._view else None
         if own is None or self._view is None:
-            self._until = _NEVER
+            self._until = NEVER
             return
         members = self._view.register.members(own.availability_zone)
         peers = [peer.vm for peer in members if peer.vm != self._owner.vm]
         self._until = max(
-            _extend(self._leader_sent_at, self._timing.lease),
+            self._leader_sent_at + self._timing.lease,
             self._zone_until(peers),
         )
 
     def _zone_until(self, peers: list[VmId]) -> timedelta:
         if not peers:
             # Only the leader's support starts the grace.
-            return _extend(self._leader_sent_at, self._timing.sole_member_grace)
+            return self._leader_sent_at + self._timing.sole_member_grace
         # Of n members, n // 2 peers and the VM itself are a majority; n is
         # one more than the number of peers.
         needed = (len(peers) + 1) // 2
         sent = sorted(
-            (self._peer_sent_at.get(peer, _NEVER) for peer in peers),
+            (self._peer_sent_at.get(peer, NEVER) for peer in peers),
             reverse=True,
         )
-        return _extend(sent[needed - 1], self._timing.lease)
-
-
-def _extend(sent_at: timedelta, duration: timedelta) -> timedelta:
-    return sent_at if sent_at == _NEVER else sent_at + duration
+        return sent[needed - 1] + self._timing.lease
--- a/libraries/shares/plantainstand_shares/_pacing.py
+++ b/libraries/shares/plantainstand_shares/_pacing.py
@@ -45,7 +45,7 @@
         self._limit = 1.0
         self._peak = 0
         self._earlier_peak = 0
-        self._period_start = timedelta.min
+        self._period_start = timedelta()
         self._updated_at: timedelta | None = None
 
     def usable(self, in_use: int, now: timedelta) -> int:
--- a/libraries/shares/plantainstand_shares/_timing.py
+++ b/libraries/shares/plantainstand_shares/_timing.py
@@ -16,6 +16,9 @@
 # authority, and used-up rates count for one second.
 DISPATCH_ALLOWANCE = timedelta(seconds=1)
 
+# Before every reading of a clock; timedelta.min would overflow in sums.
+NEVER = timedelta(days=-100000)
+
 
 @dataclass(frozen=True)
 class SupportTiming:
