--- a/libraries/shares/plantainstand_shares/_grantor.py
+++ b/libraries/shares/plantainstand_shares/_grantor.py
@@ -142,18 +142,15 @@
         if self._view is None:
             return ()
         now = self._clock.monotonic()
+        index = self._view.index
         due = {
-            record.availability_zone: record
+            record.availability_zone: record.key
             for record in self._view.register.records.values()
             if record.ended_at is None and self._is_due(record, now)
         }
-        index = self._view.index
-        for record in due.values():
-            self._proposed.setdefault(record.key, set()).add(index)
-        return tuple(
-            ReclaimVm(record.vm, record.incarnation, index)
-            for record in due.values()
-        )
+        for key in due.values():
+            self._proposed.setdefault(key, set()).add(index)
+        return tuple(ReclaimVm(*lost, index) for lost in due.values())
 
     def reclaim_refused(self, command: ReclaimVm) -> None:
         """Note that the state machine refused a proposed reclaim.
--- a/libraries/shares/plantainstand_shares/_timing.py
+++ b/libraries/shares/plantainstand_shares/_timing.py
@@ -17,7 +17,7 @@
 DISPATCH_ALLOWANCE = timedelta(seconds=1)
 
 # Before every reading of a clock; timedelta.min would overflow in sums.
-NEVER = timedelta(days=-100000)
+NEVER = timedelta.min / 2
 
 
 @dataclass(frozen=True)
