--- a/libraries/daemon/plantainstand_daemon/_daemon.py
+++ b/libraries/daemon/plantainstand_daemon/_daemon.py
@@ -259,7 +259,12 @@
 
     def _apply(self) -> None:
         self._apply_pending = False
-        self._parts.apply()
+        try:
+            self._parts.apply()
+        except Exception:
+            # Steering by an old view would break limits that have changed.
+            _log.exception('control state cannot be put in force')
+            self._stopping.set()
 
     async def _leave(self) -> None:
         if not self._settings.is_entry:
