--- a/libraries/daemon/plantainstand_daemon/_leader.py
+++ b/libraries/daemon/plantainstand_daemon/_leader.py
@@ -210,8 +210,7 @@
         for command in grantor.reclaims():
             outcome = await self._propose(command)
             if isinstance(outcome, Refused):
-                key = VmIncarnation(command.vm, command.incarnation)
-                grantor.reclaim_refused(key)
+                grantor.reclaim_refused(command)
             else:
                 self._note_reclaimed(command)
 
