Let an emptied voter join although its VM is sent heartbeats

Found by the new state machine test over several cores: a replica with a new disk took the leader's messages to its old disk for contact and never asked for its repair. Leader messages now name the disk they are meant for. Also found: a leader removed a surplus voter although the remaining set had no reachable majority, which nothing could undo. The new set must now have one.

--- a/libraries/consensus/plantainstand_consensus/_entries.py
+++ b/libraries/consensus/plantainstand_consensus/_entries.py
@@ -1,5 +1,7 @@
 """Entries of the log, voter sets and snapshots."""
 
+from collections.abc import Collection
+
 import msgspec
 from plantainstand_core import DiskId, VmId
 
@@ -44,6 +46,11 @@
         """Number of voters that form a majority."""
         return len(self.voters) // 2 + 1
 
+    def has_majority(self, nodes: Collection[Node]) -> bool:
+        """Tell whether a majority of the voters is among ``nodes``."""
+        present = sum(voter in nodes for voter in self.voters)
+        return present >= self.quorum
+
     def voter_of(self, vm: VmId) -> Node | None:
         """Return the voter on a VM."""
         for voter in self.voters:
--- a/libraries/consensus/plantainstand_consensus/_following.py
+++ b/libraries/consensus/plantainstand_consensus/_following.py
@@ -83,6 +83,10 @@
         message: AppendRequest | SnapshotChunk,
     ) -> bool:
         state = self._state
+        if message.destination_disk != state.node.disk:
+            # Meant for a lost disk of this VM. Not taken as a sign of the
+            # leader, so this disk continues to ask for its repair.
+            return False
         if message.term < state.term:
             reply = self._append_reply(accepted=False, next_hint=0)
             state.outbox.send(source, reply)
@@ -105,6 +109,7 @@
             return request
         return AppendRequest(
             source_disk=request.source_disk,
+            destination_disk=request.destination_disk,
             term=request.term,
             previous_index=log.base_index,
             previous_term=log.base_term,
--- a/libraries/consensus/plantainstand_consensus/_leading.py
+++ b/libraries/consensus/plantainstand_consensus/_leading.py
@@ -183,12 +183,18 @@
             for node in self._learners & reachable
             if self._progress[node].match_index >= state.commit_index
         ]
-        return next_configuration(
+        changed = next_configuration(
             state.log.configuration,
             state.node,
             caught_up,
             reachable,
         )
+        # A set without a reachable majority could never be left again if one
+        # of its disks is lost.
+        present = {state.node, *reachable}
+        if changed is None or not changed.has_majority(present):
+            return None
+        return changed
 
     def _majority_index(self) -> int:
         state = self._state
@@ -212,6 +218,5 @@
         }
 
     def _reaches_quorum(self, nodes: Collection[Node]) -> bool:
-        configuration = self._state.log.configuration
-        present = {self._state.node, *nodes}.intersection(configuration.voters)
-        return len(present) >= configuration.quorum
+        present = {self._state.node, *nodes}
+        return self._state.log.configuration.has_majority(present)
--- a/libraries/consensus/plantainstand_consensus/_messages.py
+++ b/libraries/consensus/plantainstand_consensus/_messages.py
@@ -43,6 +43,9 @@
 class AppendRequest(_Message, frozen=True):
     """Entries of the leader; without entries it is a heartbeat."""
 
+    destination_disk: DiskId
+    """Meant for this disk; another one on the same VM ignores it."""
+
     term: int
     previous_index: int
     previous_term: int
@@ -73,6 +76,9 @@
 class SnapshotChunk(_Message, frozen=True):
     """Part of a snapshot for a replica that is too far behind."""
 
+    destination_disk: DiskId
+    """Meant for this disk; another one on the same VM ignores it."""
+
     term: int
     index: int
     index_term: int
--- a/libraries/consensus/plantainstand_consensus/_replication.py
+++ b/libraries/consensus/plantainstand_consensus/_replication.py
@@ -84,6 +84,7 @@
         )
         request = AppendRequest(
             source_disk=self._state.node.disk,
+            destination_disk=progress.node.disk,
             term=self._state.term,
             previous_index=previous_index,
             previous_term=previous_term,
@@ -107,6 +108,7 @@
         start = progress.snapshot_offset
         chunk = SnapshotChunk(
             source_disk=self._state.node.disk,
+            destination_disk=progress.node.disk,
             term=self._state.term,
             index=snapshot.index,
             index_term=snapshot.term,
--- /dev/null
+++ b/tests/consensus/simulated_cluster.py
@@ -0,0 +1,299 @@
+"""Several cores over a network and disks that a test controls."""
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from plantainstand_consensus import (
+    Command,
+    Configuration,
+    Effects,
+    Entry,
+    HardState,
+    Log,
+    Message,
+    Node,
+    ReplicaCore,
+    Snapshot,
+    TruncateEntries,
+    Write,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+    decode_message,
+    encode_message,
+)
+from plantainstand_core import DiskId, VmId
+
+ROUND = timedelta(milliseconds=50)
+
+_SEPARATOR = b' '
+
+
+@dataclass
+class SimulatedDisk:
+    """What one data folder holds durably."""
+
+    node: Node
+    hard_state: HardState = HardState()
+    entries: list[Entry] = field(default_factory=list)
+    snapshot: Snapshot | None = None
+
+    def perform(self, write: Write) -> None:
+        """Carry out one write."""
+        match write:
+            case WriteHardState(hard_state):
+                self.hard_state = hard_state
+            case WriteEntries(entries):
+                self._append(entries)
+            case TruncateEntries(first_index):
+                self._keep(lambda index: index < first_index)
+            case WriteSnapshot(snapshot, through, replaces_log):
+                self.snapshot = snapshot
+                self._keep(lambda index: index > through and not replaces_log)
+
+    def load_log(self) -> Log:
+        """Return the log as a restarted process finds it."""
+        return Log(self.snapshot, self.entries)
+
+    def _append(self, entries: Sequence[Entry]) -> None:
+        last = self.entries[-1].index if self.entries else None
+        if last is not None and entries[0].index != last + 1:
+            raise AssertionError('entries are written with a gap')
+        self.entries.extend(entries)
+
+    def _keep(self, wanted: Callable[[int], bool]) -> None:
+        self.entries = [entry for entry in self.entries if wanted(entry.index)]
+
+
+@dataclass
+class SimulatedReplica:
+    """A process, running or not, and its disk."""
+
+    disk: SimulatedDisk
+    core: ReplicaCore | None = None
+    unsynced: list[Effects] = field(default_factory=list)
+    applied: list[bytes] = field(default_factory=list)
+
+
+class SimulatedCluster:
+    """Replicas, the messages between them, and what they have committed."""
+
+    def __init__(self, vms: Sequence[VmId]):
+        """Start without disks and processes."""
+        self.vms = tuple(vms)
+        self.now = timedelta(hours=1)
+        self.replicas: dict[VmId, SimulatedReplica] = {}
+        self.network: list[tuple[VmId, VmId, Message]] = []
+        self.committed: dict[int, Entry] = {}
+        self.leaders: dict[int, Node] = {}
+        self.lost_disks: set[Node] = set()
+        self._starts = 0
+
+    def form(self, members: Sequence[VmId]) -> None:
+        """Give every member a disk on which the cluster is formed."""
+        for vm in self.vms:
+            self.new_disk(vm)
+        voters = tuple(self.replicas[vm].disk.node for vm in members)
+        formed = Configuration(tuple(members), voters, formed=True)
+        for vm in members:
+            self.replicas[vm].disk.entries.append(Entry(1, 0, formed))
+        self.committed[1] = Entry(1, 0, formed)
+
+    def new_disk(self, vm: VmId) -> None:
+        """Put an empty disk with a new id into a stopped VM."""
+        self._starts += 1
+        node = Node(vm, DiskId(f'{vm}{self._starts}'))
+        self.replicas[vm] = SimulatedReplica(SimulatedDisk(node))
+
+    def start(self, vm: VmId, founding_members: Sequence[VmId] = ()) -> None:
+        """Start the process of a VM from its disk."""
+        self._starts += 1
+        replica = self.replicas[vm]
+        log = replica.disk.load_log()
+        replica.unsynced = []
+        replica.applied = []
+        if log.snapshot is not None:
+            replica.applied = log.snapshot.payload.split(_SEPARATOR)
+        replica.core = ReplicaCore(
+            replica.disk.node,
+            log,
+            replica.disk.hard_state,
+            peers=self.vms,
+            founding_members=founding_members,
+            random_source=random.Random(self._starts),
+            now=self.now,
+        )
+
+    def crash(self, vm: VmId, kept_writes: int = 0) -> None:
+        """End a process; only some of its unsynced writes survive."""
+        replica = self.replicas[vm]
+        writes = [write for batch in replica.unsynced for write in batch.writes]
+        for write in writes[:kept_writes]:
+            replica.disk.perform(write)
+        replica.unsynced = []
+        replica.core = None
+
+    def lose_disk(self, vm: VmId) -> None:
+        """End a process and replace its disk by an empty one."""
+        self.lost_disks.add(self.replicas[vm].disk.node)
+        self.new_disk(vm)
+
+    def running(self) -> Sequence[VmId]:
+        """Return the VMs whose process runs."""
+        return [vm for vm in self.vms if self.replicas[vm].core is not None]
+
+    def leader(self) -> VmId | None:
+        """Return the VM of the leader with the newest term."""
+        leading = [
+            (core.state.term, vm)
+            for vm in self.vms
+            if (core := self.replicas[vm].core) and core.leadership
+        ]
+        return max(leading)[1] if leading else None
+
+    def collect(self, vm: VmId) -> None:
+        """Take the effects of a core; its writes stay unsynced."""
+        replica = self.replicas[vm]
+        if replica.core is None:
+            return
+        effects = replica.core.take_effects()
+        self._send(vm, effects.messages)
+        if effects.sequence:
+            replica.unsynced.append(effects)
+        self._note_leader(replica, replica.core)
+        self._apply(replica, effects)
+
+    def sync(self, vm: VmId) -> None:
+        """Make the oldest batch of writes durable."""
+        replica = self.replicas[vm]
+        if replica.core is None or not replica.unsynced:
+            return
+        effects = replica.unsynced.pop(0)
+        for write in effects.writes:
+            replica.disk.perform(write)
+        replica.core.synced(effects.sequence)
+        self._send(vm, effects.held_messages)
+        self.collect(vm)
+
+    def deliver(self, position: int, *, keep: bool = False) -> None:
+        """Deliver one message; with ``keep`` it can arrive again."""
+        source, destination, message = self.network[position]
+        if not keep:
+            self.network.pop(position)
+        replica = self.replicas.get(destination)
+        if replica is not None and replica.core is not None:
+            replica.core.receive(source, message)
+            self.collect(destination)
+
+    def tick(self, vm: VmId) -> None:
+        """Tell a core the time."""
+        core = self.replicas[vm].core
+        if core is not None:
+            core.tick(self.now)
+            self.collect(vm)
+
+    def run_rounds(self, count: int, connected: Collection[VmId]) -> None:
+        """Let time pass; only messages between ``connected`` arrive."""
+        end = self.now + count * ROUND
+        while self.now < end:
+            self.now += ROUND
+            for ticking in self.vms:
+                self.tick(ticking)
+            for syncing in self.vms:
+                self.sync(syncing)
+            self._deliver_between(connected)
+
+    def compact(self, vm: VmId, retained: int) -> None:
+        """Take a snapshot of a replica's state machine."""
+        replica = self.replicas[vm]
+        if replica.core is not None:
+            replica.core.compact(_SEPARATOR.join(replica.applied), retained)
+            self.collect(vm)
+
+    def may_lose_disk(self, vm: VmId) -> bool:
+        """Tell whether every voter set that may be in use keeps a majority."""
+        lost = {*self.lost_disks, self.replicas[vm].disk.node}
+        return all(
+            len(set(voter_set.voters) - lost) >= voter_set.quorum
+            for voter_set in self._voter_sets_in_use()
+        )
+
+    def _deliver_between(self, connected: Collection[VmId]) -> None:
+        self.network = [
+            sent
+            for sent in self.network
+            if sent[0] in connected and sent[1] in connected
+        ]
+        remaining = len(self.network)
+        while remaining:
+            self.deliver(0)
+            remaining -= 1
+
+    def _voter_sets_in_use(self) -> Sequence[Configuration]:
+        committed = [
+            (index, entry.body)
+            for index, entry in self.committed.items()
+            if isinstance(entry.body, Configuration)
+        ]
+        newest, current = max(committed, key=lambda noted: noted[0])
+        logs = [replica.disk.load_log() for replica in self.replicas.values()]
+        logs.extend(
+            replica.core.state.log
+            for replica in self.replicas.values()
+            if replica.core is not None
+        )
+        later = [
+            log.configuration
+            for log in logs
+            if log.configuration_index > newest
+        ]
+        return [current, *later]
+
+    def _send(
+        self,
+        source: VmId,
+        outgoing: Sequence[tuple[VmId, Message]],
+    ) -> None:
+        for destination, message in outgoing:
+            decoded = decode_message(encode_message(message)).unwrap()
+            self.network.append((source, destination, decoded))
+
+    def _note_leader(
+        self,
+        replica: SimulatedReplica,
+        core: ReplicaCore,
+    ) -> None:
+        if core.leadership is None:
+            return
+        leader = self.leaders.setdefault(core.state.term, replica.disk.node)
+        if leader != replica.disk.node:
+            raise AssertionError(
+                f'{leader} and {replica.disk.node} lead term {core.state.term}',
+            )
+
+    def _apply(self, replica: SimulatedReplica, effects: Effects) -> None:
+        core = replica.core
+        if effects.restore is not None:
+            replica.applied = effects.restore.payload.split(_SEPARATOR)
+        for entry in effects.committed:
+            known = self.committed.setdefault(entry.index, entry)
+            if known != entry:
+                raise AssertionError(f'{known} was replaced by {entry}')
+            if isinstance(entry.body, Command):
+                replica.applied.append(entry.body.payload)
+        if core is not None and (effects.restore or effects.committed):
+            self._check_applied(replica, core.state.handed_out)
+
+    def _check_applied(self, replica: SimulatedReplica, through: int) -> None:
+        expected = [
+            entry.body.payload
+            for index, entry in sorted(self.committed.items())
+            if index <= through and isinstance(entry.body, Command)
+        ]
+        if [item for item in replica.applied if item] != expected:
+            raise AssertionError(
+                f'{replica.disk.node} applied {replica.applied}, '
+                f'expected {expected}',
+            )
