--- /dev/null
+++ b/libraries/steering/plantainstand_steering/_ranking.py
@@ -0,0 +1,98 @@
+"""Order of the candidates for one request."""
+
+import math
+from bisect import insort
+from collections.abc import Collection, Sequence
+from datetime import timedelta
+from operator import itemgetter
+from typing import TypeAlias
+
+from plantainstand_steering._candidate import CandidateId, RankedCandidate
+from plantainstand_steering._estimate import Estimate, has_free_slot
+from plantainstand_steering._view import ServiceView
+
+# A first attempt, a retry and a hedge.
+_DEFAULT_LIMIT = 3
+
+_Scored: TypeAlias = tuple[float, Estimate]
+_cost_of = itemgetter(0)
+
+
+def rank_candidates(
+    view: ServiceView,
+    *,
+    queued: int = 0,
+    excluded: Collection[CandidateId] = (),
+    limit: int = _DEFAULT_LIMIT,
+) -> Sequence[RankedCandidate]:
+    """Return up to ``limit`` candidates, the cheapest first.
+
+    ``queued`` is the number of requests of the service that wait at this VM
+    for a slot of a local target. ``excluded`` are candidates that the request
+    has already tried.
+    """
+    now = view.seconds()
+    local_wait = (queued + 1) / max(view.local_slots, 1)
+    shortlist = _Shortlist(limit, local_wait, excluded)
+    order = view.order
+    for touched in order.touched(now):
+        shortlist.offer(touched)
+    for estimate in order.cheapest_first():
+        if estimate.cost >= shortlist.bound:
+            break
+        shortlist.offer(estimate)
+    return tuple(
+        RankedCandidate(
+            listed.candidate,
+            timedelta(seconds=cost),
+            has_free_slot(listed, now),
+        )
+        for cost, listed in shortlist.scored
+    )
+
+
+def choose_free_target(
+    view: ServiceView,
+    excluded: Collection[CandidateId] = (),
+) -> CandidateId | None:
+    """Return the cheapest local target with a free slot, if there is one."""
+    now = view.seconds()
+    order = view.order
+    free = (
+        (order.cost(estimate, now), estimate)
+        for estimate in order.local
+        if estimate.in_flight < estimate.slots
+        and estimate.candidate.candidate_id not in excluded
+    )
+    chosen = min(free, key=_cost_of, default=None)
+    return None if chosen is None else chosen[1].candidate.candidate_id
+
+
+class _Shortlist:
+    """The cheapest candidates offered so far."""
+
+    def __init__(
+        self,
+        limit: int,
+        local_wait: float,
+        excluded: Collection[CandidateId],
+    ):
+        self.bound = math.inf
+        self.scored: list[_Scored] = []
+        self._limit = limit
+        self._local_wait = local_wait
+        self._excluded = excluded
+
+    def offer(self, estimate: Estimate) -> None:
+        cost = estimate.cost
+        if not estimate.is_vm and estimate.in_flight >= estimate.slots:
+            cost += self._local_wait * estimate.service_time
+        if cost >= self.bound:
+            return
+        if estimate.candidate.candidate_id in self._excluded:
+            return
+        insort(self.scored, (cost, estimate), key=_cost_of)
+        if len(self.scored) > self._limit:
+            self.scored.pop()
+        if len(self.scored) == self._limit:
+            self.bound = self.scored[-1][0]
