--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -1,11 +1,10 @@
 """A daemon's operators' API on loopback, on top of the real catalogue."""
 
 import threading
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from types import MappingProxyType
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,13 +22,6 @@
 
 Reply = tuple[int, object]
 
-_DRAIN_COMMANDS: Mapping[str, Any] = MappingProxyType(
-    {
-        'PUT': catalogue.AnnounceDrain,
-        'DELETE': catalogue.WithdrawDrain,
-    }
-)
-
 
 class FakeDaemon:
     """Answers calls from a catalogue state and a script of faults."""
@@ -115,9 +107,11 @@
 ) -> catalogue.CatalogueCommand:
     kind, name = parts[1:]
     if parts[0] == 'drains':
-        drain = _DRAIN_COMMANDS[method]
         operation_id = OperationId(query['operation_id'])
-        return drain(operation_id, catalogue.DrainSubjectKind(kind), name)
+        subject = catalogue.DrainSubjectKind(kind), name
+        if method == 'PUT':
+            return catalogue.AnnounceDrain(operation_id, *subject)
+        return catalogue.WithdrawDrain(operation_id, *subject)
     if method == 'PUT':
         put = msgspec.json.decode(body, type=ctl.PutEntryBody)
         return examples.put(put.entry, put.operation_id, put.expected_revision)
