--- a/bench/plantainstand_bench/_caller.py
+++ b/bench/plantainstand_bench/_caller.py
@@ -84,6 +84,7 @@
         scheduled: float,
     ) -> CallerRecord:
         """Make one request; ``scheduled`` is in seconds since the epoch."""
+        begun = time.time()
         if service.is_idempotent:
             attempts = await self._look_up(arrival, scheduled)
         else:
@@ -94,6 +95,7 @@
             traffic_class=service.traffic_class,
             is_idempotent=service.is_idempotent,
             scheduled=scheduled,
+            begun=begun,
             deadline_ms=arrival.traffic.deadline_ms,
             ended=time.time(),
             outcome=final_outcome(attempts),
--- a/bench/plantainstand_bench/_deployment.py
+++ b/bench/plantainstand_bench/_deployment.py
@@ -44,6 +44,8 @@
     http_port: PositiveCount
     rpc_port: PositiveCount
     host: str = '127.0.0.1'
+    http_threads: PositiveCount = 400
+    """Requests in progress at the VM; each holds a thread of the daemon."""
 
     @property
     def is_voter(self) -> bool:
--- a/bench/plantainstand_bench/_direct.py
+++ b/bench/plantainstand_bench/_direct.py
@@ -164,6 +164,7 @@
         scheduled: float,
     ) -> CallerRecord:
         """Make one request; ``scheduled`` is in seconds since the epoch."""
+        begun = time.time()
         attempts = await self._send_until_done(arrival, service, scheduled)
         return CallerRecord(
             caller=self._name,
@@ -171,6 +172,7 @@
             traffic_class=service.traffic_class,
             is_idempotent=service.is_idempotent,
             scheduled=scheduled,
+            begun=begun,
             deadline_ms=arrival.traffic.deadline_ms,
             ended=time.time(),
             outcome=final_outcome(attempts),
--- a/bench/plantainstand_bench/_measures.py
+++ b/bench/plantainstand_bench/_measures.py
@@ -112,9 +112,8 @@
 def _sending_delay(records: Iterable[CallerRecord]) -> float:
     delays = _new_histogram()
     for record in records:
-        if record.attempts:
-            delay = record.attempts[0].started - record.scheduled
-            delays.record_value(_microseconds(delay * 1000))
+        delay = record.begun - record.scheduled
+        delays.record_value(_microseconds(delay * 1000))
     return _percentile(delays, 99)
 
 
--- a/bench/plantainstand_bench/_records.py
+++ b/bench/plantainstand_bench/_records.py
@@ -63,6 +63,9 @@
     scheduled: float
     """Seconds since the epoch; latency counts from here."""
 
+    begun: float
+    """When the caller began; later than scheduled if the tool is busy."""
+
     deadline_ms: int
     ended: float
     outcome: Outcome
--- a/bench/plantainstand_bench/_run_files.py
+++ b/bench/plantainstand_bench/_run_files.py
@@ -68,7 +68,11 @@
         'availability_zone': plan.availability_zone,
         'region': plan.region,
         'roles': plan.roles,
-        'http': {'host': plan.host, 'port': plan.http_port},
+        'http': {
+            'host': plan.host,
+            'port': plan.http_port,
+            'threads': plan.http_threads,
+        },
         'rpc': {'host': plan.host, 'port': plan.rpc_port},
         'voters': _voters(deployment),
         'logs': {'format': 'json', 'level': 'info'},
--- a/bench/plantainstand_bench/_system.py
+++ b/bench/plantainstand_bench/_system.py
@@ -121,8 +121,8 @@
     def start_zone_targets(self, zone: AvailabilityZoneId) -> None:
         """Start the process that hosts the targets of a zone."""
         path = self._target_files[zone]
-        module = 'plantainstand_bench._target_main'
-        arguments = _module_command(module, path)
+        function = 'target_main'
+        arguments = _own_command(function, path)
         self._processes.start(f'targets-{zone}', arguments)
 
     def start_vm(self, vm: VmId) -> None:
@@ -179,8 +179,8 @@
 
     def _start_list(self) -> None:
         path = write_list_settings(self._deployment, self._folder)
-        module = 'plantainstand_bench._vm_list'
-        self._processes.start(_VM_LIST, _module_command(module, path))
+        function = 'vm_list_main'
+        self._processes.start(_VM_LIST, _own_command(function, path))
 
     async def _format(self, vm: VmId) -> bool:
         command = self._daemon_command(vm, '--format')
@@ -231,5 +231,7 @@
     return (*commands.control, *options, *apply)
 
 
-def _module_command(module: str, path: Path) -> Sequence[str]:
-    return (sys.executable, '-m', module, '--settings', str(path))
+def _own_command(function: str, path: Path) -> Sequence[str]:
+    # The installed scripts may belong to another work tree.
+    code = f'from plantainstand_bench import {function} as main; main()'
+    return (sys.executable, '-c', code, '--settings', str(path))
--- a/bench/plantainstand_bench/_target_main.py
+++ b/bench/plantainstand_bench/_target_main.py
@@ -124,7 +124,3 @@
     add('--cold-requests', type=int, default=0)
     add('--seed', type=int, default=1)
     return parser
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/bench/plantainstand_bench/_vm_list.py
+++ b/bench/plantainstand_bench/_vm_list.py
@@ -158,7 +158,3 @@
             ),
         ],
     )
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -33,6 +33,7 @@
         traffic_class=TrafficClass.CRITICAL,
         is_idempotent=True,
         scheduled=100,
+        begun=100,
         deadline_ms=2000,
         ended=ended,
         outcome=outcome,
--- a/tests/bench/test_target.py
+++ b/tests/bench/test_target.py
@@ -110,10 +110,10 @@
             targets=_TARGETS,
         )
         settings.write_bytes(msgspec.json.encode(document))
-        module = 'plantainstand_bench._target_main'
+        code = 'from plantainstand_bench import target_main as main; main()'
         cls._process = cls._resources.enter_context(
             subprocess.Popen(
-                [sys.executable, '-m', module, '--settings', str(settings)],
+                [sys.executable, '-c', code, '--settings', str(settings)],
                 stdout=subprocess.PIPE,
             ),
         )
--- a/tests/bench/test_verdict.py
+++ b/tests/bench/test_verdict.py
@@ -45,6 +45,7 @@
         traffic_class=TrafficClass.NORMAL,
         is_idempotent=is_idempotent,
         scheduled=100,
+        begun=100,
         deadline_ms=2000,
         ended=101,
         outcome=outcome,
