--- a/libraries/daemon/plantainstand_daemon/_services.py
+++ b/libraries/daemon/plantainstand_daemon/_services.py
@@ -220,12 +220,10 @@
         for target in view.catalogue.targets.values():
             resource = target_resource(target.target_id)
             if resource in shares and target.limits.slots:
-                part = shares[resource].share / target.limits.slots
                 service = view.catalogue.services[target.service]
-                cap = service.shift.target_slots_per_second
-                pacer = known.get(resource) or _new_pacer(service)
-                pacer.resize_growth(cap * part)
-                self._pacers[resource] = pacer
+                self._pacers[resource] = known.get(resource) or _new_pacer(
+                    service,
+                )
 
 
 def owned_slots(
