Recover from a cold start: shed work that cannot end in time

Cause: with all targets cold, requests waited until little time was left and were dispatched all the same; targets worked on them in vain up to the deadline, their 504 counted as failures, and the targets were ejected. The probe then expected other health states than targets report, so ejected targets never came back. Ruled out: the growth cap (usable shares were at the full share after 10 s) and the consensus calls (they cost processor time, not waiting time). Change: a request starts only if the expected service time fits into its time left; a 504 does not count against a target; the probe reads the documented state 'ready' and cancels read 'done'. Consensus messages of two milliseconds share one call. Also: a VM that leaves while no leader takes its departure ends 4 s after it is idle; it waited for its whole limit before.

--- a/libraries/daemon/plantainstand_daemon/_admission.py
+++ b/libraries/daemon/plantainstand_daemon/_admission.py
@@ -101,7 +101,9 @@
             queue_id,
             request.service,
             runtime.service.traffic_class,
-            request.deadline,
+            # Work that starts later would be stopped at its deadline: the
+            # slot would be used for nothing while others wait.
+            request.deadline - runtime.queue.service_time,
         )
         self._settle(self._scheduler.submit(queued))
         try:
--- a/libraries/daemon/plantainstand_daemon/_control_service.py
+++ b/libraries/daemon/plantainstand_daemon/_control_service.py
@@ -88,13 +88,14 @@
         self,
         stream: Stream[ConsensusEnvelope, Empty],
     ) -> None:
-        """Take one message; an unreadable one is dropped like a lost one."""
+        """Take messages; an unreadable one is dropped like a lost one."""
         envelope = await stream.recv_message()
         if envelope is not None:
-            message = decode_message(envelope.payload)
-            if isinstance(message, Ok):
-                source = VmId(envelope.source)
-                self._replica.deliver(source, message.ok_value)
+            source = VmId(envelope.source)
+            for payload in envelope.payloads:
+                message = decode_message(payload)
+                if isinstance(message, Ok):
+                    self._replica.deliver(source, message.ok_value)
         await stream.send_message(Empty())
 
 
--- a/libraries/daemon/plantainstand_daemon/_health_poll.py
+++ b/libraries/daemon/plantainstand_daemon/_health_poll.py
@@ -14,7 +14,7 @@
 from plantainstand_daemon._tasks import pause
 
 _INTERVAL = timedelta(seconds=1)
-_HEALTHY_STATES = frozenset(('ok', 'serving', 'healthy'))
+_HEALTHY_STATE = 'ready'
 
 
 class HealthPoll:
@@ -59,7 +59,7 @@
             '/health',
         )
         state = '' if document is None else str(document.get('state', ''))
-        is_healthy = state in _HEALTHY_STATES
+        is_healthy = state == _HEALTHY_STATE
         health.accept_report(target, is_healthy, asked_at)
         if is_probe:
             health.record(target, succeeded=is_healthy)
--- a/libraries/daemon/plantainstand_daemon/_local.py
+++ b/libraries/daemon/plantainstand_daemon/_local.py
@@ -29,8 +29,8 @@
 _HOLD_MARGIN = timedelta(milliseconds=250)
 _NO_TIME = timedelta(0)
 _NONE_EXCLUDED: frozenset[CandidateId] = frozenset()
-_ENDED_STATES = frozenset(('cancelled', 'completed', 'refused', 'expired'))
 _CANCELLED_STATE = 'cancelled'
+_ENDED_STATES = frozenset((_CANCELLED_STATE, 'done'))
 
 _RESULTS = MappingProxyType(
     {
@@ -201,6 +201,9 @@
         if report.outcome is DispatchOutcome.REFUSED:
             return
         answer = report.answer
+        if answer is not None and answer.status == HTTPStatus.GATEWAY_TIMEOUT:
+            # The request had too little time left; the target did its part.
+            return
         grant.runtime.health.record(
             grant.local.target.target_id,
             succeeded=answer is not None
--- a/libraries/daemon/plantainstand_daemon/_presence.py
+++ b/libraries/daemon/plantainstand_daemon/_presence.py
@@ -50,6 +50,7 @@
 _PROPOSE_TIMEOUT = timedelta(seconds=3)
 # A caller that got its list just before the drain may use it this much later.
 _LINGER = ENTRY_LIFETIME + timedelta(milliseconds=500)
+_DEPARTURE_TIMEOUT = timedelta(seconds=4)
 _POLL_INTERVAL = timedelta(milliseconds=100)
 
 
@@ -101,6 +102,7 @@
         )
         self._status = PresenceState.JOINING
         self._leaving_since: timedelta | None = None
+        self._idle_since: timedelta | None = None
         self._stopping = False
         self._holding = self._new_holding(Incarnation(0))
 
@@ -131,9 +133,21 @@
         while self._clock.monotonic() < deadline:
             if self._status is PresenceState.DEPARTED:
                 return True
+            if self._is_abandoned():
+                return False
             await pause(_POLL_INTERVAL)
         return False
 
+    def _is_abandoned(self) -> bool:
+        """Tell whether this VM is idle and no leader takes its departure.
+
+        Its shares are then reclaimed later, as those of a lost VM.
+        """
+        if self._idle_since is None:
+            return False
+        waited = self._clock.monotonic() - self._idle_since
+        return waited > _DEPARTURE_TIMEOUT
+
     async def _step(self) -> None:
         view = self._port.state.view()
         self._holding.apply(view.shares, self._clock.monotonic())
@@ -222,6 +236,8 @@
         if self._is_idle():
             self._holding.ledger.close()
             self._holding.zone_support.close()
+            if self._idle_since is None:
+                self._idle_since = self._clock.monotonic()
 
     def _is_idle(self) -> bool:
         return not (self._port.activity.in_flight or self._port.unrecorded())
@@ -285,6 +301,7 @@
             return
         if status in {PresenceState.JOINING, PresenceState.SERVING}:
             self._leaving_since = None
+            self._idle_since = None
         _log.info('presence changed', status=status.value)
         self._status = status
         self._on_change()
--- a/libraries/daemon/plantainstand_daemon/_voter.py
+++ b/libraries/daemon/plantainstand_daemon/_voter.py
@@ -24,12 +24,17 @@
 from plantainstand_daemon._settings import VoterAddress
 
 _SEND_TIMEOUT = timedelta(milliseconds=1500)
-# Messages that wait for a slow or silent voter; the log resends what is lost.
-_MAX_IN_FLIGHT = 64
+# Calls and messages that wait for a slow or silent voter; the log resends
+# what is dropped.
+_MAX_CALLS = 64
+_MAX_WAITING = 256
+# A call costs a voter about a millisecond of processor time, and the messages
+# of two milliseconds fit into one.
+_GATHER_S = 0.002
 
 
 class RpcTransport:
-    """Delivers consensus messages, one call each."""
+    """Delivers consensus messages over gRPC."""
 
     def __init__(
         self,
@@ -38,33 +43,57 @@
         channels: ChannelPool,
     ) -> None:
         """Send as ``own``."""
-        self._own = own
-        self._endpoints = endpoints
-        self._channels = channels
-        self._calls: dict[VmId, set[asyncio.Task[None]]] = {}
+        self._lanes = {
+            destination: _Lane(own, endpoint, channels)
+            for destination, endpoint in endpoints.items()
+        }
 
     def send(self, destination: VmId, message: Message) -> None:
         """Send without blocking, or drop the message."""
-        endpoint = self._endpoints.get(destination)
-        calls = self._calls.setdefault(destination, set())
-        if endpoint is None or len(calls) >= _MAX_IN_FLIGHT:
-            return
-        envelope = ConsensusEnvelope(
-            source=self._own,
-            payload=encode_message(message),
-        )
-        task = asyncio.ensure_future(self._deliver(endpoint, envelope))
-        calls.add(task)
-        task.add_done_callback(calls.discard)
+        lane = self._lanes.get(destination)
+        if lane is not None:
+            lane.send(encode_message(message))
 
-    async def _deliver(
+
+class _Lane:
+    """Messages to one voter, those of a short time in one call."""
+
+    def __init__(
         self,
+        own: VmId,
         endpoint: Endpoint,
-        envelope: ConsensusEnvelope,
+        channels: ChannelPool,
     ) -> None:
+        self._own = own
+        self._endpoint = endpoint
+        self._channels = channels
+        self._waiting: list[bytes] = []
+        self._calls: set[asyncio.Task[None]] = set()
+        self._is_scheduled = False
+
+    def send(self, payload: bytes) -> None:
+        if len(self._waiting) >= _MAX_WAITING:
+            return
+        self._waiting.append(payload)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_later(_GATHER_S, self._flush)
+
+    def _flush(self) -> None:
+        self._is_scheduled = False
+        payloads = self._waiting
+        self._waiting = []
+        if len(self._calls) >= _MAX_CALLS:
+            return
+        envelope = ConsensusEnvelope(source=self._own, payloads=payloads)
+        task = asyncio.ensure_future(self._deliver(envelope))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _deliver(self, envelope: ConsensusEnvelope) -> None:
         # A lost message needs nothing here: the log sends it again.
         await self._channels.call(
-            endpoint,
+            self._endpoint,
             lambda channel: ConsensusStub(channel).Deliver(envelope),
             _SEND_TIMEOUT,
         )
