--- /dev/null
+++ b/tests/consensus/test_joining.py
@@ -0,0 +1,145 @@
+"""Founding and repair without a person."""
+
+import unittest
+
+from plantainstand_consensus import Command
+from plantainstand_core import VmId
+
+from tests.consensus.simulated_cluster import SimulatedCluster
+
+_VMS = tuple(VmId(name) for name in 'abc')
+_FOUNDER, _SECOND, _THIRD = _VMS
+_ROUNDS = 80
+
+
+def _founded() -> SimulatedCluster:
+    cluster = SimulatedCluster(_VMS)
+    for vm in _VMS:
+        cluster.new_disk(vm)
+        cluster.start(vm, _VMS)
+    cluster.run_rounds(_ROUNDS, _VMS)
+    return cluster
+
+
+def _propose(cluster: SimulatedCluster, payload: bytes) -> bool:
+    """Propose at the leader; tell whether all running VMs applied it."""
+    leader = cluster.leader()
+    if leader is None:
+        return False
+    core = cluster.replicas[leader].core
+    if core is None or core.propose(Command(payload)).is_err():
+        return False
+    cluster.collect(leader)
+    cluster.run_rounds(_ROUNDS, _VMS)
+    return all(
+        cluster.replicas[vm].applied[-1:] == [payload]
+        for vm in cluster.running()
+    )
+
+
+class FoundingTest(unittest.TestCase):
+    """Guards against two clusters and against a cluster with one disk."""
+
+    def test_all_reachable(self) -> None:
+        """Formatted voters form a cluster that serves."""
+        self.assertTrue(_propose(_founded(), b'first'))
+
+    def test_waits_for_every_member(self) -> None:
+        """Nothing is founded or accepted while a member is unheard."""
+        cluster = SimulatedCluster(_VMS)
+        for vm in _VMS:
+            cluster.new_disk(vm)
+            cluster.start(vm, _VMS)
+        cluster.run_rounds(_ROUNDS, (_FOUNDER, _SECOND))
+        self.assertIsNone(cluster.leader())
+        self.assertFalse(_propose(cluster, b'early'))
+
+    def test_second_format_of_founder(self) -> None:
+        """A founder that was formatted again joins the existing data."""
+        cluster = _founded()
+        self.assertTrue(_propose(cluster, b'kept'))
+        cluster.lose_disk(_FOUNDER)
+        cluster.start(_FOUNDER, _VMS)
+        cluster.run_rounds(_ROUNDS, (_FOUNDER, _SECOND))
+        self.assertEqual(cluster.replicas[_FOUNDER].disk.entries, [])
+        cluster.run_rounds(_ROUNDS, _VMS)
+        self.assertEqual(cluster.replicas[_FOUNDER].applied, [b'kept'])
+        self.assertTrue(_propose(cluster, b'next'))
+
+
+class RepairTest(unittest.TestCase):
+    """Guards against an emptied disk that counts, or is never repaired."""
+
+    def test_each_disk_in_turn(self) -> None:
+        """Disks may be lost one after another, each once repaired."""
+        cluster = _founded()
+        self.assertTrue(_propose(cluster, b'kept'))
+        for vm in (_THIRD, _FOUNDER, _SECOND):
+            cluster.lose_disk(vm)
+            cluster.start(vm, _VMS)
+            cluster.run_rounds(_ROUNDS, _VMS)
+            self.assertIn(b'kept', cluster.replicas[vm].applied)
+            self.assertTrue(_propose(cluster, b'after %s' % vm.encode()))
+
+    def test_repair_needs_a_majority(self) -> None:
+        """With two of three disks lost, nothing is elected or accepted."""
+        cluster = _founded()
+        for vm in (_SECOND, _THIRD):
+            cluster.lose_disk(vm)
+            cluster.start(vm, _VMS)
+        cluster.run_rounds(_ROUNDS, _VMS)
+        self.assertIsNone(cluster.leader())
+
+    def test_repair_by_snapshot(self) -> None:
+        """A disk that needs compacted entries gets a snapshot."""
+        cluster = _founded()
+        for number in range(5):
+            self.assertTrue(_propose(cluster, b'%d' % number))
+        for vm in _VMS:
+            cluster.compact(vm, 0)
+        cluster.run_rounds(_ROUNDS, _VMS)
+        cluster.lose_disk(_THIRD)
+        cluster.start(_THIRD)
+        cluster.run_rounds(_ROUNDS, _VMS)
+        self.assertIsNotNone(cluster.replicas[_THIRD].disk.snapshot)
+        self.assertTrue(_propose(cluster, b'after'))
+
+
+class LeaderContactTest(unittest.TestCase):
+    """Guards against a leader that acts without a majority."""
+
+    def test_isolated_leader_steps_down(self) -> None:
+        """Contact ends one second after the last answered message."""
+        cluster = _founded()
+        leader = cluster.leader()
+        assert leader is not None
+        core = cluster.replicas[leader].core
+        assert core is not None and core.leadership is not None
+        self.assertTrue(core.leadership.has_contact(cluster.now))
+        others = [vm for vm in _VMS if vm != leader]
+        cluster.run_rounds(22, others)
+        self.assertIsNone(core.leadership)
+        self.assertIn(cluster.leader(), others)
+
+    def test_frozen_leader_has_no_contact(self) -> None:
+        """A leader that resumes knows at once that its contact is old."""
+        cluster = _founded()
+        leader = cluster.leader()
+        assert leader is not None
+        core = cluster.replicas[leader].core
+        assert core is not None and core.leadership is not None
+        later = cluster.now * 2
+        self.assertFalse(core.leadership.has_contact(later))
+
+    def test_barrier_needs_a_new_answer(self) -> None:
+        """A read is confirmed by answers to messages sent after it."""
+        cluster = _founded()
+        leader = cluster.leader()
+        assert leader is not None
+        core = cluster.replicas[leader].core
+        assert core is not None and core.leadership is not None
+        number = core.leadership.start_round()
+        cluster.run_rounds(3, (leader,))
+        self.assertFalse(core.leadership.confirms(number))
+        cluster.run_rounds(3, _VMS)
+        self.assertTrue(core.leadership.confirms(number))
--- /dev/null
+++ b/tests/consensus/test_opening.py
@@ -0,0 +1,148 @@
+"""Data folders: formatting, emptied and damaged ones."""
+
+import random
+import unittest
+from pathlib import Path
+
+from plantainstand_consensus import (
+    Command,
+    Configuration,
+    Entry,
+    HardState,
+    Snapshot,
+    TruncateEntries,
+    VoterStorage,
+    Write,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+    format_voter,
+    open_voter,
+)
+from plantainstand_core import VmId
+from plantainstand_storage import StorageProblem, StorageProblemKind
+from result import Result
+
+from tests.storage.simulated_file_system import (
+    CrashError,
+    SimulatedFileSystem,
+)
+
+_FOLDER = Path('/voter')
+_VM = VmId('a')
+_OTHERS = (VmId('b'), VmId('c'))
+_NO_VOTERS = Configuration((), (), formed=False)
+_SNAPSHOT = Snapshot(8, 3, _NO_VOTERS, b'state')
+
+
+def _entries(first: int, last: int, term: int) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(index, term, Command(b'%d' % index))
+        for index in range(first, last + 1)
+    )
+
+
+# A received snapshot replaces a log that ends in entries of an older term.
+_WRITES: tuple[Write, ...] = (
+    WriteHardState(HardState(1)),
+    WriteEntries(_entries(1, 6, 1)),
+    TruncateEntries(5),
+    WriteHardState(HardState(2)),
+    WriteEntries(_entries(5, 10, 2)),
+    WriteHardState(HardState(3)),
+    WriteSnapshot(_SNAPSHOT, 8, replaces_log=True),
+    WriteEntries((Entry(9, 3, Command(b'new')),)),
+)
+
+
+def _open(
+    disk: SimulatedFileSystem,
+    seed: int = 0,
+) -> Result[VoterStorage, StorageProblem]:
+    return open_voter(
+        _FOLDER,
+        _VM,
+        file_system=disk,
+        random_source=random.Random(seed),
+    )
+
+
+class OpeningTest(unittest.TestCase):
+    """Guards against a voter that continues with lost or foreign data."""
+
+    def test_format_once(self) -> None:
+        """Only an unused folder is formatted."""
+        disk = SimulatedFileSystem()
+        members = (_VM, *_OTHERS)
+        first = format_voter(_FOLDER, _VM, members, file_system=disk)
+        again = format_voter(_FOLDER, _VM, members, file_system=disk)
+        kind = again.unwrap_err().kind
+        self.assertEqual(kind, StorageProblemKind.NOT_EMPTY)
+        self.assertEqual(_open(disk).unwrap().identity, first.unwrap())
+
+    def test_emptied(self) -> None:
+        """An emptied folder gets another disk id and founds nothing."""
+        before = _open(SimulatedFileSystem(), 1).unwrap().identity
+        after = _open(SimulatedFileSystem(), 2).unwrap().identity
+        self.assertNotEqual(before.disk, after.disk)
+        self.assertEqual(after.founding_members, ())
+
+    def test_foreign(self) -> None:
+        """A folder of another VM is refused."""
+        disk = SimulatedFileSystem()
+        _open(disk).unwrap()
+        foreign = open_voter(_FOLDER, _OTHERS[0], file_system=disk)
+        kind = foreign.unwrap_err().kind
+        self.assertEqual(kind, StorageProblemKind.NOT_EMPTY)
+
+    def test_missing_files(self) -> None:
+        """With an identity, a missing file is a loss of data."""
+        for missing in ('journal', 'term-and-vote', 'snapshots', 'identity'):
+            with self.subTest(missing):
+                disk = SimulatedFileSystem()
+                _open(disk).unwrap().perform(_WRITES).unwrap()
+                disk.remove_below(_FOLDER / missing)
+                kind = _open(disk).unwrap_err().kind
+                self.assertEqual(kind, StorageProblemKind.CORRUPT)
+
+    def test_old_term(self) -> None:
+        """Entries of a term that the voter does not know are refused."""
+        disk = SimulatedFileSystem()
+        storage = _open(disk).unwrap()
+        entry = Entry(1, 2, Command(b'entry'))
+        storage.perform((WriteEntries((entry,)),)).unwrap()
+        kind = _open(disk).unwrap_err().kind
+        self.assertEqual(kind, StorageProblemKind.CORRUPT)
+
+    def test_crash_at_any_sync(self) -> None:
+        """Every crash leaves a state that some prefix of writes gives."""
+        syncs = 0
+        finished = False
+        while not finished:
+            for seed in range(15):
+                with self.subTest(syncs=syncs, seed=seed):
+                    finished = self._check_crash(syncs, seed)
+            syncs += 1
+        self.assertGreater(syncs, 10)
+
+    def _check_crash(self, syncs: int, seed: int) -> bool:
+        disk = SimulatedFileSystem()
+        storage = _open(disk).unwrap()
+        disk.syncs_until_crash = syncs
+        finished = True
+        try:
+            storage.perform(_WRITES).unwrap()
+        except CrashError:
+            finished = False
+        disk.crash(random.Random(seed))
+        state = _open(disk).unwrap().state
+        log = state.log
+        if finished or log.last_term == 3:
+            self.assertEqual(log.snapshot, _SNAPSHOT)
+            self.assertEqual(state.hard_state.term, 3)
+        if finished:
+            self.assertEqual(log.last_index, 9)
+        # A mixture of the logs of two terms would be out of sequence.
+        terms = [log.term_at(index) or 0 for index in range(log.last_index + 1)]
+        self.assertEqual(terms, sorted(terms))
+        return finished
--- /dev/null
+++ b/tests/storage/test_journal.py
@@ -0,0 +1,260 @@
+"""The journal keeps what was synced and refuses what was damaged."""
+
+import contextlib
+import itertools
+import random
+import unittest
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from plantainstand_core import LogIndex
+from plantainstand_storage import (
+    Journal,
+    StorageProblem,
+    StorageProblemKind,
+)
+from result import Err, Ok, Result
+
+from tests.storage.simulated_file_system import (
+    CrashError,
+    SimulatedFileSystem,
+)
+
+_FOLDER = Path('/journal')
+_SEGMENT_BYTES = 130
+_MAX_ROOM = 150
+
+_numbers = st.integers(min_value=1, max_value=12)
+_steps = st.one_of(
+    st.tuples(st.just('append'), st.integers(min_value=1, max_value=4)),
+    st.tuples(st.just('sync'), st.just(0)),
+    st.tuples(st.just('truncate'), _numbers),
+    st.tuples(st.just('discard'), _numbers),
+)
+
+
+def _open(
+    disk: SimulatedFileSystem,
+    *,
+    create: bool = True,
+) -> Result[Journal, StorageProblem]:
+    return Journal.open(_FOLDER, disk, _SEGMENT_BYTES, create=create)
+
+
+def _contents(journal: Journal) -> dict[int, bytes]:
+    indexes = range(journal.first_index, journal.last_index + 1)
+    return {index: journal.read(LogIndex(index)).unwrap() for index in indexes}
+
+
+def _filled(disk: SimulatedFileSystem) -> Journal:
+    """Return a journal of several segments with nine synced records."""
+    journal = _open(disk).unwrap()
+    for number in range(3):
+        records = [b'record %d' % (number * 3 + part) for part in range(3)]
+        journal.append(records).unwrap()
+        journal.sync().unwrap()
+    return journal
+
+
+class _Model:
+    """Carries out steps and knows what has to survive a crash."""
+
+    def __init__(self, journal: Journal):
+        self._journal = journal
+        self._numbers = itertools.count()
+        self.current: dict[int, bytes] = {}
+        self.allowed: dict[int, set[bytes]] = {}
+        self.durable: dict[int, bytes] = {}
+
+    def run(self, steps: Sequence[tuple[str, int]]) -> None:
+        for name, number in steps:
+            getattr(self, f'_{name}')(number)
+
+    def _append(self, count: int) -> None:
+        first = self._journal.last_index + 1
+        records = [b'%d' % next(self._numbers) for _record in range(count)]
+        for index, record in enumerate(records, first):
+            self.allowed.setdefault(index, set()).add(record)
+            self.current[index] = record
+        self._journal.append(records).unwrap()
+
+    def _sync(self, _number: int) -> None:
+        self._journal.sync().unwrap()
+        self.durable.update(self.current)
+        for index, record in self.current.items():
+            self.allowed[index] = {record}
+
+    def _truncate(self, number: int) -> None:
+        index = max(number, self._journal.first_index)
+        self._forget(lambda known: known >= index)
+        self._journal.truncate_from(LogIndex(index)).unwrap()
+        self.allowed = {
+            known: records
+            for known, records in self.allowed.items()
+            if known < index
+        }
+
+    def _discard(self, number: int) -> None:
+        self._forget(lambda known: known <= number)
+        self._journal.discard_through(LogIndex(number)).unwrap()
+
+    def _forget(self, removed: Callable[[int], bool]) -> None:
+        forgotten = [known for known in self.current if removed(known)]
+        for index in forgotten:
+            self.current.pop(index)
+            self.durable.pop(index, None)
+
+
+class CrashTest(unittest.TestCase):
+    """Guards against lost synced records and against invented ones."""
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=600)
+    @given(
+        steps=st.lists(_steps, min_size=3, max_size=14),
+        syncs=st.integers(min_value=0, max_value=25),
+        seed=st.integers(min_value=0, max_value=1000),
+    )
+    def test_crash_at_any_sync(
+        self,
+        steps: list[tuple[str, int]],
+        syncs: int,
+        seed: int,
+    ) -> None:
+        """After a crash, synced records are there and others are genuine."""
+        disk = SimulatedFileSystem()
+        model = _Model(_open(disk).unwrap())
+        disk.syncs_until_crash = syncs
+        with contextlib.suppress(CrashError):
+            model.run(steps)
+        disk.crash(random.Random(seed))
+        found = _contents(_open(disk).unwrap())
+        for index, record in model.durable.items():
+            self.assertEqual(found.get(index), record)
+        for index, record in found.items():
+            self.assertIn(record, model.allowed[index])
+
+
+class DamageTest(unittest.TestCase):
+    """Guards against damage that is read as valid or silently cut."""
+
+    def test_every_flipped_bit(self) -> None:
+        """Every bit counts; only an unsynced mark may be cut."""
+        disk = SimulatedFileSystem()
+        expected = _contents(_filled(disk))
+        sizes = {path: len(disk.read(path)) for path in disk.paths()}
+        for path, size in sizes.items():
+            for position in range(size * 8):
+                self._check_flip(path, position, expected)
+
+    def test_damage_while_open(self) -> None:
+        """A record that is damaged after the start is not returned."""
+        disk = SimulatedFileSystem()
+        journal = _filled(disk)
+        disk.flip_bit(disk.paths()[0], 52 * 8)
+        damage = journal.read(journal.first_index)
+        self.assertEqual(
+            damage.unwrap_err().kind,
+            StorageProblemKind.CORRUPT,
+        )
+
+    def test_missing_files(self) -> None:
+        """A missing segment or a missing journal is refused."""
+        for position in (1, None):
+            with self.subTest(position=position):
+                disk = SimulatedFileSystem()
+                _filled(disk)
+                paths = disk.paths()
+                removed = paths if position is None else [paths[position]]
+                for path in removed:
+                    disk.remove(path)
+                kind = _open(disk, create=False).unwrap_err().kind
+                self.assertEqual(kind, StorageProblemKind.CORRUPT)
+
+    def test_torn_tails(self) -> None:
+        """Every length of an interrupted write is cut and reported."""
+        reference = SimulatedFileSystem()
+        journal = _filled(reference)
+        newest = reference.paths()[-1]
+        before = len(reference.read(newest))
+        journal.append([b'torn', b'tail']).unwrap()
+        tail = reference.read(newest)[before:]
+        partial = tail[:-1]
+        while partial:
+            disk = SimulatedFileSystem()
+            expected = _contents(_filled(disk))
+            disk.open_append(newest).write(partial)
+            reopened = _open(disk).unwrap()
+            found = _contents(reopened)
+            found.pop(10, None)
+            self.assertEqual(found, expected)
+            cut = reopened.torn_tail
+            # Two records of equal size: half of the bytes are a whole one.
+            whole = len(partial) * 2 == len(tail)
+            self.assertEqual(cut is None, whole)
+            partial = partial[:-1]
+
+    def _check_flip(
+        self,
+        path: Path,
+        position: int,
+        expected: dict[int, bytes],
+    ) -> None:
+        disk = SimulatedFileSystem()
+        _filled(disk)
+        disk.flip_bit(path, position)
+        opened = _open(disk)
+        if isinstance(opened, Err):
+            kind = opened.err_value.kind
+            self.assertEqual(kind, StorageProblemKind.CORRUPT)
+            return
+        journal = opened.unwrap()
+        self.assertIsNotNone(journal.torn_tail)
+        self.assertEqual(_contents(journal), expected)
+
+
+class RefusalTest(unittest.TestCase):
+    """Guards against errors that are raised or leave a damaged journal."""
+
+    def test_full_disk(self) -> None:
+        """Whatever fits, earlier records stay and later ones can follow."""
+        for room in range(_MAX_ROOM):
+            with self.subTest(room=room):
+                disk = SimulatedFileSystem()
+                journal = _filled(disk)
+                expected = _contents(journal)
+                used = sum(len(disk.read(path)) for path in disk.paths())
+                disk.capacity = used + room
+                self._append_until_full(journal)
+                disk.capacity = None
+                journal.append([b'after']).unwrap()
+                journal.sync().unwrap()
+                found = _contents(_open(disk).unwrap())
+                self.assertEqual(found, found | expected)
+                self.assertEqual(found[max(found)], b'after')
+
+    def test_failed_sync(self) -> None:
+        """After a failed sync nothing is accepted: its data may be gone."""
+        disk = SimulatedFileSystem()
+        journal = _filled(disk)
+        journal.append([b'lost']).unwrap()
+        disk.fail_syncs = True
+        first = journal.sync().unwrap_err().kind
+        self.assertEqual(first, StorageProblemKind.INPUT_OUTPUT)
+        disk.fail_syncs = False
+        outcomes = (
+            journal.sync(),
+            journal.append([b'next']),
+            journal.truncate_from(LogIndex(1)),
+        )
+        for outcome in outcomes:
+            kind = outcome.unwrap_err().kind
+            self.assertEqual(kind, StorageProblemKind.FAILED_BEFORE)
+
+    def _append_until_full(self, journal: Journal) -> None:
+        outcome: Result[LogIndex, StorageProblem] = Ok(journal.last_index)
+        while outcome.is_ok():
+            outcome = journal.append([b'first', b'second'])
+        kind = outcome.unwrap_err().kind
+        self.assertEqual(kind, StorageProblemKind.DISK_FULL)
