Check durability of every message and commit in the cluster test

The test now checks each message and each commit against what is on disk, and directed cases cover the commit rule for earlier terms and the limits of voter changes.

--- a/tests/consensus/simulated_cluster.py
+++ b/tests/consensus/simulated_cluster.py
@@ -1,7 +1,7 @@
 """Several cores over a network and disks that a test controls."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -10,63 +10,24 @@
     Configuration,
     Effects,
     Entry,
-    HardState,
-    Log,
     Message,
     Node,
     ReplicaCore,
-    Snapshot,
-    TruncateEntries,
-    Write,
-    WriteEntries,
-    WriteHardState,
-    WriteSnapshot,
     decode_message,
     encode_message,
 )
 from plantainstand_core import DiskId, VmId
 
+from tests.consensus.simulated_disk import (
+    SimulatedDisk,
+    check_durable_claims,
+)
+
 ROUND = timedelta(milliseconds=50)
 
 _SEPARATOR = b' '
 
 
-@dataclass
-class SimulatedDisk:
-    """What one data folder holds durably."""
-
-    node: Node
-    hard_state: HardState = HardState()
-    entries: list[Entry] = field(default_factory=list)
-    snapshot: Snapshot | None = None
-
-    def perform(self, write: Write) -> None:
-        """Carry out one write."""
-        match write:
-            case WriteHardState(hard_state):
-                self.hard_state = hard_state
-            case WriteEntries(entries):
-                self._append(entries)
-            case TruncateEntries(first_index):
-                self._keep(lambda index: index < first_index)
-            case WriteSnapshot(snapshot, through, replaces_log):
-                self.snapshot = snapshot
-                self._keep(lambda index: index > through and not replaces_log)
-
-    def load_log(self) -> Log:
-        """Return the log as a restarted process finds it."""
-        return Log(self.snapshot, self.entries)
-
-    def _append(self, entries: Sequence[Entry]) -> None:
-        last = self.entries[-1].index if self.entries else None
-        if last is not None and entries[0].index != last + 1:
-            raise AssertionError('entries are written with a gap')
-        self.entries.extend(entries)
-
-    def _keep(self, wanted: Callable[[int], bool]) -> None:
-        self.entries = [entry for entry in self.entries if wanted(entry.index)]
-
-
 @dataclass
 class SimulatedReplica:
     """A process, running or not, and its disk."""
@@ -88,7 +49,7 @@
         self.network: list[tuple[VmId, VmId, Message]] = []
         self.committed: dict[int, Entry] = {}
         self.leaders: dict[int, Node] = {}
-        self.lost_disks: set[Node] = set()
+        self.lost_disks: dict[Node, SimulatedDisk] = {}
         self._starts = 0
 
     def form(self, members: Sequence[VmId]) -> None:
@@ -137,7 +98,8 @@
 
     def lose_disk(self, vm: VmId) -> None:
         """End a process and replace its disk by an empty one."""
-        self.lost_disks.add(self.replicas[vm].disk.node)
+        disk = self.replicas[vm].disk
+        self.lost_disks[disk.node] = disk
         self.new_disk(vm)
 
     def running(self) -> Sequence[VmId]:
@@ -257,6 +219,7 @@
         outgoing: Sequence[tuple[VmId, Message]],
     ) -> None:
         for destination, message in outgoing:
+            check_durable_claims(self.replicas[source].disk, message)
             decoded = decode_message(encode_message(message)).unwrap()
             self.network.append((source, destination, decoded))
 
@@ -278,14 +241,45 @@
         if effects.restore is not None:
             replica.applied = effects.restore.payload.split(_SEPARATOR)
         for entry in effects.committed:
-            known = self.committed.setdefault(entry.index, entry)
-            if known != entry:
-                raise AssertionError(f'{known} was replaced by {entry}')
+            self._check_committed(replica, entry)
             if isinstance(entry.body, Command):
                 replica.applied.append(entry.body.payload)
         if core is not None and (effects.restore or effects.committed):
             self._check_applied(replica, core.state.handed_out)
 
+    def _check_committed(
+        self,
+        replica: SimulatedReplica,
+        entry: Entry,
+    ) -> None:
+        known = self.committed.get(entry.index)
+        if known is None:
+            self.committed[entry.index] = entry
+            self._check_durable(replica, entry)
+        elif known != entry:
+            raise AssertionError(f'{known} was replaced by {entry}')
+
+    def _check_durable(
+        self,
+        replica: SimulatedReplica,
+        entry: Entry,
+    ) -> None:
+        # The replica that hands an entry out first is the leader. A disk that
+        # is lost by now had the entry when it was acknowledged.
+        if replica.core is None:
+            return
+        disks = dict(self.lost_disks)
+        for present in self.replicas.values():
+            disks[present.disk.node] = present.disk
+        voter_set = replica.core.state.log.configuration
+        holders = [
+            voter
+            for voter in voter_set.voters
+            if disks[voter].holds(entry.index, entry.term)
+        ]
+        if len(holders) < voter_set.quorum:
+            raise AssertionError(f'{entry} is committed on {holders} only')
+
     def _check_applied(self, replica: SimulatedReplica, through: int) -> None:
         expected = [
             entry.body.payload
--- /dev/null
+++ b/tests/consensus/simulated_disk.py
@@ -0,0 +1,90 @@
+"""What a replica has synced, and what it may say because of that."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from plantainstand_consensus import (
+    Entry,
+    HardState,
+    Log,
+    Message,
+    Node,
+    Snapshot,
+    TruncateEntries,
+    Write,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+)
+from plantainstand_consensus._messages import (
+    AppendReply,
+    JoinReply,
+    JoinRequest,
+    VoteReply,
+    VoteRequest,
+)
+
+
+@dataclass
+class SimulatedDisk:
+    """What one data folder holds durably."""
+
+    node: Node
+    hard_state: HardState = HardState()
+    entries: list[Entry] = field(default_factory=list)
+    snapshot: Snapshot | None = None
+
+    def perform(self, write: Write) -> None:
+        """Carry out one write."""
+        match write:
+            case WriteHardState(hard_state):
+                self.hard_state = hard_state
+            case WriteEntries(entries):
+                self._append(entries)
+            case TruncateEntries(first_index):
+                self._keep(lambda index: index < first_index)
+            case WriteSnapshot(snapshot, through, replaces_log):
+                self.snapshot = snapshot
+                self._keep(lambda index: index > through and not replaces_log)
+
+    def holds(self, index: int, term: int) -> bool:
+        """Tell whether an entry is durable here."""
+        if self.snapshot is not None and self.snapshot.index >= index:
+            return True
+        return any(
+            entry.index == index and entry.term == term
+            for entry in self.entries
+        )
+
+    def load_log(self) -> Log:
+        """Return the log as a restarted process finds it."""
+        return Log(self.snapshot, self.entries)
+
+    def _append(self, entries: Sequence[Entry]) -> None:
+        last = self.entries[-1].index if self.entries else None
+        if last is not None and entries[0].index != last + 1:
+            raise AssertionError('entries are written with a gap')
+        self.entries.extend(entries)
+
+    def _keep(self, wanted: Callable[[int], bool]) -> None:
+        self.entries = [entry for entry in self.entries if wanted(entry.index)]
+
+
+def check_durable_claims(disk: SimulatedDisk, message: Message) -> None:
+    """Fail if a message says what a crash of its sender would undo."""
+    match message:
+        case JoinReply() | JoinRequest():
+            return
+        case AppendReply(accepted=True):
+            last = disk.load_log().last_index
+            _require(message.match_index <= last, disk, message)
+        case VoteReply(granted=True, preliminary=False):
+            _require(disk.hard_state.vote is not None, disk, message)
+    preliminary = isinstance(message, VoteRequest) and message.preliminary
+    durable_term = disk.hard_state.term + preliminary
+    _require(message.term <= durable_term, disk, message)
+
+
+def _require(condition: bool, disk: SimulatedDisk, message: Message) -> None:
+    if not condition:
+        raise AssertionError(f'{disk.node} sends {message} before its sync')
--- /dev/null
+++ b/tests/consensus/test_core.py
@@ -0,0 +1,97 @@
+"""Rules of the protocol that random faults reach too rarely."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from plantainstand_consensus import (
+    Command,
+    Configuration,
+    Entry,
+    HardState,
+    Log,
+    Node,
+    ReplicaCore,
+)
+from plantainstand_consensus._messages import AppendReply, VoteReply
+from plantainstand_core import DiskId, VmId
+
+_SELF = Node(VmId('a'), DiskId('1'))
+_VOTER = Node(VmId('b'), DiskId('2'))
+_LEARNER = Node(VmId('c'), DiskId('4'))
+_VOTERS = (_SELF, _VOTER, Node(VmId('c'), DiskId('3')))
+_MEMBERS = tuple(voter.vm for voter in _VOTERS)
+_START = timedelta(hours=1)
+_ENTRIES = (
+    Entry(1, 0, Configuration(_MEMBERS, _VOTERS, formed=True)),
+    Entry(2, 1, Command(b'of an earlier term')),
+)
+
+
+def _sync(core: ReplicaCore) -> None:
+    core.synced(core.take_effects().sequence)
+
+
+def _leader() -> ReplicaCore:
+    """Return a leader of term 2 that holds an entry of term 1."""
+    core = ReplicaCore(
+        _SELF,
+        Log(None, _ENTRIES),
+        HardState(1),
+        peers=_MEMBERS,
+        founding_members=(),
+        random_source=random.Random(0),
+        now=_START,
+    )
+    core.tick(_START + timedelta(seconds=1))
+    for preliminary in (True, False):
+        _sync(core)
+        vote = VoteReply(
+            source_disk=_VOTER.disk,
+            term=1 if preliminary else 2,
+            election_term=2,
+            granted=True,
+            preliminary=preliminary,
+        )
+        core.receive(_VOTER.vm, vote)
+    _sync(core)
+    return core
+
+
+def _acknowledge(core: ReplicaCore, node: Node, index: int) -> None:
+    reply = AppendReply(
+        source_disk=node.disk,
+        term=2,
+        accepted=True,
+        match_index=index,
+        next_hint=0,
+        sent_at_us=0,
+        round_number=0,
+    )
+    core.receive(node.vm, reply)
+
+
+class CommitTest(unittest.TestCase):
+    """Guards against a commit that a later leader can undo."""
+
+    def test_earlier_term(self) -> None:
+        """An entry of an earlier term commits only with one of this term."""
+        core = _leader()
+        _acknowledge(core, _VOTER, 2)
+        self.assertEqual(core.state.commit_index, 0)
+        _acknowledge(core, _VOTER, 3)
+        self.assertEqual(core.state.commit_index, 3)
+
+    def test_other_disk(self) -> None:
+        """An acknowledgement of a disk outside of the voter set is void."""
+        core = _leader()
+        _acknowledge(core, _LEARNER, 3)
+        self.assertEqual(core.state.commit_index, 0)
+
+    def test_change_waits_for_own_term(self) -> None:
+        """No voter change starts before an entry of this term committed."""
+        core = _leader()
+        self.assertTrue(core.change_members(_MEMBERS[:2]).is_err())
+        _acknowledge(core, _VOTER, 3)
+        self.assertTrue(core.change_members(_MEMBERS[:2]).is_ok())
+        self.assertTrue(core.change_members(_MEMBERS).is_err())
