Test catch-up before a voter change and the order of stored terms

Trials with broken copies showed that adding a voter before it had caught up, and storing a term before the entries written ahead of it, went unnoticed. Each has a directed case now.

--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -13,7 +13,11 @@
     Node,
     ReplicaCore,
 )
-from plantainstand_consensus._messages import AppendReply, VoteReply
+from plantainstand_consensus._messages import (
+    AppendReply,
+    JoinRequest,
+    VoteReply,
+)
 from plantainstand_core import DiskId, VmId
 
 _SELF = Node(VmId('a'), DiskId('1'))
@@ -65,7 +69,7 @@
         accepted=True,
         match_index=index,
         next_hint=0,
-        sent_at_us=0,
+        sent_at_us=core.state.now // timedelta(microseconds=1),
         round_number=0,
     )
     core.receive(node.vm, reply)
@@ -88,6 +92,17 @@
         _acknowledge(core, _LEARNER, 3)
         self.assertEqual(core.state.commit_index, 0)
 
+    def test_learner_catches_up_first(self) -> None:
+        """The old disk is removed once the new one has what is committed."""
+        core = _leader()
+        _acknowledge(core, _VOTER, 3)
+        core.receive(_LEARNER.vm, JoinRequest(_LEARNER.disk, founding=False))
+        core.take_effects()
+        for match_index, voters in ((2, _VOTERS), (3, _VOTERS[:2])):
+            _acknowledge(core, _LEARNER, match_index)
+            configuration = core.state.log.configuration
+            self.assertEqual(configuration.voters, voters)
+
     def test_change_waits_for_own_term(self) -> None:
         """No voter change starts before an entry of this term committed."""
         core = _leader()
--- a/tests/consensus/test_opening.py
+++ b/tests/consensus/test_opening.py
@@ -140,6 +140,9 @@
         if finished or log.last_term == 3:
             self.assertEqual(log.snapshot, _SNAPSHOT)
             self.assertEqual(state.hard_state.term, 3)
+        if state.hard_state.term == 3:
+            # Entries written before a term are not lost while it is kept.
+            self.assertGreaterEqual(log.last_index, 8)
         if finished:
             self.assertEqual(log.last_index, 9)
         # A mixture of the logs of two terms would be out of sequence.
