Read the operators' answers as the daemon writes them

The tool would have reported a successful cancel as "no majority", and a refused change as an answer that it cannot read.

Ruled out: reading both forms, because no daemon with the other form exists.

Change: bodies as the daemon has them; Request-Outcome makes any status an answer; "settings check" calls the daemon's own load_daemon_settings, which also checks rules between fields; the fake daemon answers in the same form.

--- a/libraries/ctl/plantainstand_ctl/__init__.py
+++ b/libraries/ctl/plantainstand_ctl/__init__.py
@@ -42,7 +42,7 @@
     ErrorBody,
     InvalidBody,
     PutEntryBody,
-    RequestStatus,
+    RequestReport,
     VmItem,
     VmList,
 )
@@ -69,7 +69,7 @@
     'ExitCode',
     'InvalidBody',
     'PutEntryBody',
-    'RequestStatus',
+    'RequestReport',
     'VmItem',
     'VmList',
     'main',
--- a/libraries/ctl/plantainstand_ctl/_api.py
+++ b/libraries/ctl/plantainstand_ctl/_api.py
@@ -7,10 +7,11 @@
 from enum import Enum
 
 import msgspec
-from plantainstand_catalogue import AnyEntry, CatalogueProblem, DrainSubjectKind
+from plantainstand_catalogue import AnyEntry, DrainSubjectKind
 from plantainstand_core import (
     AvailabilityZoneId,
     EntryId,
+    LogIndex,
     OperationId,
     RequestId,
     Revision,
@@ -68,21 +69,22 @@
 class InvalidBody(msgspec.Struct, frozen=True):
     """Status 422."""
 
-    problems: Sequence[CatalogueProblem]
+    problems: Sequence[str]
+    """One sentence each: which entry, which field, what is wrong, remedy."""
 
 
 class DrainItem(msgspec.Struct, frozen=True):
     """An announced drain."""
 
-    subject_kind: DrainSubjectKind
-    subject_id: str
+    kind: DrainSubjectKind
+    id: str  # noqa: WPS125
     revision: Revision
     """Of the announcement."""
 
     @property
     def subject(self) -> str:
         """Subject as given on the command line."""
-        return f'{self.subject_kind.value}/{self.subject_id}'
+        return f'{self.kind.value}/{self.id}'
 
 
 class DrainList(msgspec.Struct, frozen=True):
@@ -113,18 +115,27 @@
 class VmItem(msgspec.Struct, frozen=True):
     """A registered VM."""
 
-    id: VmId  # noqa: WPS125
+    vm: VmId
     availability_zone: AvailabilityZoneId
     state: str
-    """``live``, ``leaving`` or ``lapsed``."""
+    """``live``, ``leaving``, ``departed`` or ``reclaimed``."""
 
-    revision: Revision
-    """Newest catalogue change in force at the VM, as far as is known."""
+    heard: bool
+    """Whether its heartbeats reach the leader."""
+
+    applied_index: LogIndex | None = None
+    """Newest log entry in force there, as far as the leader knows."""
+
+    in_flight: int | None = None
+    """Requests that it handles."""
 
 
 class VmList(msgspec.Struct, frozen=True):
-    """``GET /operator/v1/vms``."""
+    """``GET /operator/v1/vms``, from the leader."""
 
+    leader: str
+    commit_index: LogIndex
+    voters: Sequence[str]
     vms: Sequence[VmItem]
 
 
@@ -136,25 +147,25 @@
     pending: Sequence[VmId]
 
 
-class RequestStatus(msgspec.Struct, frozen=True):
-    """``GET /operator/v1/requests/<id>``; 404 without a record."""
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Status 400, 404, 503 and 504, and replies without a target's answer."""
 
-    request_id: RequestId
-    outcome: str
-    """``answered``, ``not-run``, ``unknown`` or ``expired``."""
+    message: str
+    """What is wrong and what to do."""
 
-    detail: str = ''
-    """Reason of a rejection, holder of the admission, or size kept."""
 
-    status: int | None = None
-    """Status code of the answer."""
+class RequestReport(msgspec.Struct, frozen=True):
+    """What the tool prints for a request."""
 
+    request_id: RequestId
+    outcome: str
+    """``answered``, ``not-run``, ``unknown`` or ``expired``."""
 
-class ErrorBody(msgspec.Struct, frozen=True):
-    """Status 400, 404, 503 and 504."""
+    status: int
+    """HTTP status: the target's, if the request was answered."""
 
-    error: str
-    """What is wrong and what to do."""
+    message: str
+    """Reason given by the daemon, or the size of the target's answer."""
 
 
 class ChangeReport(msgspec.Struct, frozen=True):
--- a/libraries/ctl/plantainstand_ctl/_client.py
+++ b/libraries/ctl/plantainstand_ctl/_client.py
@@ -30,6 +30,8 @@
 ROUND_PAUSE = timedelta(seconds=1)
 """Between rounds: a new leader is elected within about this time."""
 
+OUTCOME_HEADER = 'Request-Outcome'
+
 _CONNECT_S = 1
 _READ_S = 5
 
@@ -156,9 +158,10 @@
             address,
         )
         miss = _MISSES.get(answer.status)
-        if miss is None:
+        # On a request's outcome, these statuses are the answer.
+        if miss is None or OUTCOME_HEADER in answer.headers:
             return Ok(answer)
-        return Err((miss, f'{address}: {_error_text(answer)}'))
+        return Err((miss, f'{address}: {error_text(answer)}'))
 
 
 def new_operation_id() -> OperationId:
@@ -194,14 +197,15 @@
 
 def _read(answer: Answer, body_type: type[BodyT]) -> Result[BodyT, Failure]:
     if answer.status != _OK:
-        return Err(_refusal(answer))
+        return Err(refusal(answer))
     try:
         return Ok(msgspec.json.decode(answer.body, type=body_type))
     except msgspec.DecodeError as problem:
         return Err(_unexpected(answer, str(problem)))
 
 
-def _refusal(answer: Answer) -> Failure:
+def refusal(answer: Answer) -> Failure:
+    """Return the failure of an answer whose status is not 200."""
     try:
         return _decode_refusal(answer)
     except msgspec.DecodeError as problem:
@@ -222,7 +226,7 @@
     code = _REFUSALS.get(answer.status)
     if code is None:
         return _unexpected(answer, f'status {answer.status}')
-    return Failure(code, f'{answer.address}: {_error_text(answer)}')
+    return Failure(code, f'{answer.address}: {error_text(answer)}')
 
 
 _REFUSALS: Mapping[int, ExitCode] = {  # noqa: WPS407
@@ -254,8 +258,9 @@
     )
 
 
-def _error_text(answer: Answer) -> str:
+def error_text(answer: Answer) -> str:
+    """Return the daemon's message, or the status if there is none."""
     try:
-        return msgspec.json.decode(answer.body, type=ErrorBody).error
+        return msgspec.json.decode(answer.body, type=ErrorBody).message
     except msgspec.DecodeError:
         return f'status {answer.status}'
--- a/libraries/ctl/plantainstand_ctl/_main.py
+++ b/libraries/ctl/plantainstand_ctl/_main.py
@@ -14,6 +14,7 @@
 from plantainstand_ctl import (
     _catalogue_commands,
     _drain_commands,
+    _request_commands,
     _status_commands,
 )
 from plantainstand_ctl._apply_command import apply_file
@@ -21,9 +22,9 @@
 from plantainstand_ctl._client import OperatorClient, Pause, new_operation_id
 from plantainstand_ctl._report import CommandResult, print_result
 from plantainstand_ctl._settings_commands import (
-    FindSettingsType,
+    FindLoader,
     check_settings,
-    find_settings_type,
+    find_loader,
 )
 
 
@@ -34,7 +35,7 @@
     arguments: argparse.Namespace
     client: OperatorClient
     pause: Pause
-    find_settings_type: FindSettingsType
+    find_loader: FindLoader
 
     @property
     def operation_id(self) -> OperationId:
@@ -46,7 +47,7 @@
 def run_command(
     arguments: Sequence[str],
     pause: Pause,
-    find_settings_type: FindSettingsType,
+    find_loader: FindLoader,
 ) -> int:
     """Run a command line; return its exit code.
 
@@ -58,7 +59,7 @@
     if name not in _OFFLINE and not parsed.address:
         parser.error('--address is missing; give the address of any daemon')
     client = OperatorClient(parsed.address, pause)
-    call = _Call(parsed, client, pause, find_settings_type)
+    call = _Call(parsed, client, pause, find_loader)
     return int(print_result(_COMMANDS[name](call), parsed.output))
 
 
@@ -67,7 +68,7 @@
     return run_command(
         sys.argv[1:],
         lambda wait: time.sleep(wait.total_seconds()),
-        find_settings_type,
+        find_loader,
     )
 
 
@@ -145,7 +146,7 @@
         ),
         'settings check': lambda call: check_settings(
             Path(call.arguments.file),
-            call.find_settings_type,
+            call.find_loader,
         ),
         'drain announce': _drain_change(_drain_commands.announce_drain),
         'drain withdraw': _drain_change(_drain_commands.withdraw_drain),
@@ -156,7 +157,7 @@
             call.client,
             call.arguments.revision,
         ),
-        'request show': _request(_status_commands.show_request),
-        'request cancel': _request(_status_commands.cancel_request),
+        'request show': _request(_request_commands.show_request),
+        'request cancel': _request(_request_commands.cancel_request),
     }
 )
--- a/libraries/ctl/plantainstand_ctl/_report.py
+++ b/libraries/ctl/plantainstand_ctl/_report.py
@@ -86,6 +86,6 @@
 
 
 def _detail_line(detail: object) -> str:
-    if isinstance(detail, CatalogueProblem):
+    if isinstance(detail, str | CatalogueProblem):
         return str(detail)
     return render_line(detail)
--- a/libraries/ctl/plantainstand_ctl/_settings_commands.py
+++ b/libraries/ctl/plantainstand_ctl/_settings_commands.py
@@ -3,21 +3,23 @@
 import importlib
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
-from plantainstand_core import load_settings
-from result import Err, Ok
+from plantainstand_core import SettingsProblem
+from result import Err, Ok, Result
 
 from plantainstand_ctl._exit_codes import ExitCode, Failure
 from plantainstand_ctl._report import CommandResult, Report
 
 _DAEMON_PACKAGE = 'plantainstand_daemon'
-_SETTINGS_TYPE = 'DaemonSettings'
+_LOADER = 'load_daemon_settings'
 
-FindSettingsType = Callable[[], type[object] | None]
+LoadSettings = Callable[[Path], Result[Any, SettingsProblem]]
+FindLoader = Callable[[], LoadSettings | None]
 
 
-def find_settings_type() -> type[object] | None:
-    """Return the daemon's settings type, if the daemon is installed.
+def find_loader() -> LoadSettings | None:
+    """Return the daemon's own check, if the daemon is installed.
 
     The tool does not depend on the daemon: operators' machines have no need
     of its servers.
@@ -26,19 +28,19 @@
         package = importlib.import_module(_DAEMON_PACKAGE)
     except ImportError:
         return None
-    return getattr(package, _SETTINGS_TYPE, None)
+    return getattr(package, _LOADER, None)
 
 
-def check_settings(path: Path, find: FindSettingsType) -> CommandResult:
+def check_settings(path: Path, find: FindLoader) -> CommandResult:
     """Check a daemon's settings file without starting it."""
-    settings_type = find()
-    if settings_type is None:
+    load = find()
+    if load is None:
         message = (
             'settings are checked by the plantainstand-daemon package, which '
             + 'is not installed here; install it or check on a VM that has it'
         )
         return Err(Failure(ExitCode.UNEXPECTED, message))
-    loaded = load_settings(path, settings_type)
+    loaded = load(path)
     if isinstance(loaded, Err):
         return Err(Failure(ExitCode.INVALID, str(loaded.err_value)))
     return Ok(Report({'valid': True}, (f'{path}: valid',)))
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -1,10 +1,11 @@
 """A daemon's operators' API on loopback, on top of the real catalogue."""
 
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import ExitStack, contextmanager
 from functools import partial
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from types import MappingProxyType
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -22,6 +23,15 @@
 
 Reply = tuple[int, object]
 
+# The fake answers about a request id that is a status with that status.
+_OUTCOMES: Mapping[int, str] = MappingProxyType(
+    {
+        201: 'answered',
+        503: 'not-run',
+        504: 'unknown',
+    }
+)
+
 
 class FakeDaemon:
     """Answers calls from a catalogue state and a script of faults."""
@@ -34,15 +44,15 @@
         self.operation_ids: list[str] = []
         self.progress = [ctl.DrainState.DRAINING, ctl.DrainState.DRAINED]
         self.pending = ['vm-2']
-        self.cancel_outcome = 'not-run'
 
     def reply(self, method: str, path: str, body: bytes) -> Reply | None:
         """Return status and body, or nothing for a closed connection."""
         url = urlsplit(path)
+        if '/v1/requests/' in url.path:
+            status = int(url.path.rpartition('/')[2])
+            return status, ctl.ErrorBody('reason')
         if method == 'GET':
             return self._read(url.path.split('/')[3:])
-        if url.path.startswith('/v1/requests/'):
-            return 200, ctl.ErrorBody('')
         query = {name: found[0] for name, found in parse_qs(url.query).items()}
         command = _command(method, url.path.split('/')[3:], query, body)
         return self._change(command)
@@ -82,15 +92,12 @@
         pending = [VmId(vm) for vm in self.pending]
         match parts:
             case ['vms']:
-                vm = ctl.VmItem(VmId('vm-2'), zone, 'live', Revision(3))
-                return 200, ctl.VmList([vm])
+                vm = ctl.VmItem(VmId('vm-2'), zone, 'live', True, LogIndex(3))
+                new = ctl.VmItem(VmId('vm-3'), zone, 'live', False)
+                return 200, ctl.VmList('vm-1', LogIndex(4), ['vm-1'], [vm, new])
             case ['changes', revision]:
                 number = Revision(int(revision))
                 return 200, ctl.ChangeStatus(number, [], pending)
-            case ['requests', '404']:
-                return 404, ctl.ErrorBody('no record')
-            case ['requests', name]:
-                return 200, {'request_id': name, 'outcome': 'unknown', 'new': 1}
         return 200, 'not the expected body'
 
 
@@ -131,7 +138,7 @@
                 outcome.current_revision, outcome.current
             )
         case catalogue.ChangeInvalid():
-            return 422, ctl.InvalidBody(outcome.problems)
+            return 422, ctl.InvalidBody(tuple(map(str, outcome.problems)))
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -159,7 +166,8 @@
         payload = msgspec.json.encode(reply[1])
         self.send_response(reply[0])
         self.send_header('Content-Length', str(len(payload)))
-        self.send_header('Request-Outcome', self._daemon.cancel_outcome)
+        if reply[0] in _OUTCOMES and '/v1/requests/' in self.path:
+            self.send_header('Request-Outcome', _OUTCOMES[reply[0]])
         self.end_headers()
         self.wfile.write(payload)
 
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import msgspec
+from plantainstand_core import load_settings
 from plantainstand_ctl import ExitCode, run_command
 
 from tests.catalogue import examples
@@ -72,12 +73,21 @@
 drain list | - | 0 |
 drain wait vm/vm-1 | - | 0 | drained
 drain wait vm/vm-1 --timeout-s 0 | - | 9 | 3 requests in flight, waiting
-status vms | - | 0 | vm-2  bajio-a  live  revision 3
+status vms | - | 0 | vm-2  bajio-a  live, heard  index 3
+status vms | - | 0 | vm-3  bajio-a  live, not heard  index unknown
 status changes | - | 9 | pending at: vm-2
 status changes 5 | - | 9 | revision 5
-request show 1 | - | 0 | 1: unknown
-request show 404 | - | 5 | no record
-request cancel 1 | - | 0 | never will
+request show 201 | - | 0 | 201: answered, 20 bytes with status 201
+request show 503 | - | 0 | 503: not-run, reason
+request show 504 | - | 0 | 504: unknown, reason
+request show 410 | - | 0 | 410: expired
+request show 400 | - | 4 | reason
+request show 404 | - | 5 | reason
+request cancel 503 | - | 0 | never will
+request cancel 504 | - | 10 | the outcome is unknown
+request cancel 201 | - | 10 | the outcome is answered
+request cancel 410 | - | 10 | the outcome is expired
+request cancel 400 | - | 4 | reason
 """
 
 # Faults of the changes that arrive, exit code, changes that arrive.
@@ -107,6 +117,10 @@
     limit: int
 
 
+def _load_settings(path: Path) -> Any:
+    return load_settings(path, _Settings)
+
+
 class CommandTest(unittest.TestCase):
     """Guards against wrong exit codes and messages that do not help."""
 
@@ -120,14 +134,10 @@
                     self.assertEqual(found, int(code), text)
                     self._check_text(text, output, found, expected)
 
-    def test_states(self) -> None:
-        """A change in force everywhere and a request that ran are told."""
+    def test_in_force_everywhere(self) -> None:
+        """Nothing is pending: scripts that wait for a change go on."""
         daemon = FakeDaemon()
         daemon.pending = []
-        daemon.cancel_outcome = 'answered'
-        code, text = _run('request cancel 1', daemon)
-        self.assertEqual(code, ExitCode.NOT_CANCELLED)
-        self.assertIn('the outcome is answered', text)
         code, _text = _run('status changes 5', daemon)
         self.assertEqual(code, ExitCode.DONE)
 
@@ -189,7 +199,11 @@
         if output == 'text':
             self.assertIn(expected, text)
             return
-        is_failure = code not in {ExitCode.DONE, ExitCode.PENDING}
+        is_failure = code not in {
+            ExitCode.DONE,
+            ExitCode.PENDING,
+            ExitCode.NOT_CANCELLED,
+        }
         self.assertEqual('error' in json.loads(text), is_failure)
 
 
@@ -214,5 +228,5 @@
 ) -> tuple[int, str]:
     output = io.StringIO()
     with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
-        code = run_command(arguments, pauses.append, lambda: _Settings)
+        code = run_command(arguments, pauses.append, lambda: _load_settings)
     return code, output.getvalue()
