Test VMs that lose only the leader, and answers read after a freeze

Cause: in the simulated world a VM that lost the leader lost its peers, too, so its authority never lasted until its peers' promises and the wait for the longest deadline was not needed for the capacity to hold.

Change: VMs can lose the leader alone, as a random fault and in a case with clocks at both ends of the drift bound. A frozen VM reads its old answers late.

--- a/tests/shares/test_ledger.py
+++ b/tests/shares/test_ledger.py
@@ -172,14 +172,23 @@
     return sum(used for at, used in spent if end - 1000 < at <= end)
 
 
+# Share, seconds since the first use, usable slots.
+_RAMP_CASES = (
+    (2, 0, 1),
+    (8, 0, 2),
+    (8, 5, 5),
+    (8, 10, 8),
+    (0, 0, 0),
+)
+
+
 class PacingTest(unittest.TestCase):
     """Guards against a rush on a cold target."""
 
     def test_ramp(self) -> None:
         """The usable part grows from one slot at least to the share."""
         ramp = SlotRamp(10 * _SECOND, 0.25)
-        cases = ((2, 0, 1), (8, 0, 2), (8, 5, 5), (8, 10, 8), (0, 0, 0))
-        for share, seconds, expected in cases:
+        for share, seconds, expected in _RAMP_CASES:
             with self.subTest(share=share, seconds=seconds):
                 usable = ramp.usable(share, seconds * _SECOND)
                 self.assertEqual(usable, expected)
--- a/tests/shares/test_world.py
+++ b/tests/shares/test_world.py
@@ -49,6 +49,11 @@
         """Answers to a VM get lost, or arrive again."""
         self._world.deaf.symmetric_difference_update(vm)
 
+    @rule(vm=_VMS)
+    def lose_leader(self, vm: str) -> None:
+        """A VM reaches its peers but not the leader, or both again."""
+        self._world.leaderless.symmetric_difference_update(vm)
+
     @rule(vm=_VMS)
     def stop_following(self, vm: str) -> None:
         """A VM misses changes although it is supported, or catches up."""
@@ -181,6 +186,38 @@
         world.run(1000)
         self.assertTrue(all(map(_has_authority, world.processes.values())))
 
+    def test_cut_off_from_the_leader_only(self) -> None:
+        """Nobody gets a share while its holder, or its work, still uses it."""
+        for vms, rates in (
+            ('ab', (1.02, 1)),
+            ('abc', (1.02, 1)),
+            ('abc', (1, 1.02)),
+        ):
+            with self.subTest(vms, rates=rates):
+                world = World({'1': vms, '2': 'z'})
+                world.elect(rates[0])
+                world.restart('a', rates[1])
+                world.run(20000)
+                lost = world.processes['a'].key
+                world.frozen.add('b')
+                world.run(300)
+                world.frozen.clear()
+                world.leaderless.add('a')
+                world.run(16000)
+                self.assertNotIn(lost, world.leader.state.view().by_vm)
+
+    def test_old_answers_after_a_freeze(self) -> None:
+        """Answers that a frozen VM reads too late give it no authority."""
+        world = World(_ZONES)
+        world.delay = 2800
+        world.run(3000)
+        world.frozen.add('a')
+        world.run(30000)
+        world.frozen.clear()
+        world.group['a'] = 1
+        world.run(1000)
+        self.assertFalse(world.processes['a'].holder.has_authority())
+
     def test_clean_stop_frees_at_once(self) -> None:
         """A VM that leaves keeps nothing once its work has ended."""
         world = World(_ZONES)
--- a/tests/shares/world.py
+++ b/tests/shares/world.py
@@ -194,6 +194,7 @@
         self.group = dict.fromkeys(self.zones, 0)
         self.frozen: set[str] = set()
         self.deaf: set[str] = set()
+        self.leaderless: set[str] = set()
         self.stale: set[str] = set()
         self.delay = 0
         self.commits = True
@@ -273,12 +274,13 @@
 
     def _run_process(self, vm: str, process: Process) -> None:
         connected = self.group[vm] == 0
-        if connected and vm not in self.stale:
+        cut_off = self.leaderless | self.stale
+        if connected and vm not in cut_off:
             process.follow(self.leader.log, self.leader.applied)
         process.use(self.now)
         if self.now % 500:
             return
-        if connected:
+        if connected and vm not in self.leaderless:
             self._register(process)
             self._send_heartbeat(vm, process, self.leader)
         if self.former:
