--- a/bench/plantainstand_bench/_policy_steering.py
+++ b/bench/plantainstand_bench/_policy_steering.py
@@ -125,7 +125,9 @@
     ) -> Sequence[RankedCandidate]:
         return rank_candidates(
             self.owner.view,
-            queued=len(self.owner.queue),
+            queued=self.owner.queue.places_ahead(
+                flow.arrival.traffic_class,
+            ),
             excluded={tried.candidate_id for tried in self._tried(flow)},
             limit=limit,
         )
