--- a/bench/plantainstand_bench/_fault_runner.py
+++ b/bench/plantainstand_bench/_fault_runner.py
@@ -145,14 +145,20 @@
         fault: KillVm | StopVm | PauseVm | ResumeVm | StartVm,
     ) -> None:
         if isinstance(fault, StartVm):
-            if fault.empty_data_folder:
-                self._system.empty_data_folder(fault.vm)
-            self._system.start_vm(fault.vm)
+            self._start_vm(fault)
         elif isinstance(fault, StopVm):
             self._system.stop_vm(fault.vm)
         else:
             self._system.signal_vm(fault.vm, _signal_of(fault))
 
+    def _start_vm(self, fault: StartVm) -> None:
+        if self._system.is_running(fault.vm):
+            sys.stderr.write(f'{fault.vm} still runs and is not started\n')
+            return
+        if fault.empty_data_folder:
+            self._system.empty_data_folder(fault.vm)
+        self._system.start_vm(fault.vm)
+
     def _vms_of(self, zone: AvailabilityZoneId) -> Sequence[VmId]:
         return [
             vm.id for vm in self._deployment.vms if vm.availability_zone == zone
