Raise the arrival rate during the warm-up; stop children on SIGTERM

At 90 % of the slots the first seconds met cold targets with the full load. That start is a fault of its own and hid the fault under test, so the rate now rises from zero during the warm-up.

SIGTERM to the tool left its children running; it now cancels the run, which stops them.

--- a/bench/plantainstand_bench/_deployment.py
+++ b/bench/plantainstand_bench/_deployment.py
@@ -101,7 +101,10 @@
     callers_per_zone: PositiveCount = 20
     duration_s: Milliseconds = 30
     warm_up_s: Milliseconds = 0
-    """Time after the first arrival that latency and headroom leave out."""
+    """Time after the first arrival that latency and headroom leave out.
+
+    The arrival rate rises linearly from zero during this time.
+    """
 
     settle_s: Milliseconds = 6
     """Time between loading the catalogue and the first arrival."""
--- a/bench/plantainstand_bench/_load_main.py
+++ b/bench/plantainstand_bench/_load_main.py
@@ -63,7 +63,10 @@
     shutil.rmtree(out / 'journals', ignore_errors=True)
     shutil.rmtree(out / 'data', ignore_errors=True)
     folder = RunFolder(out)
-    finished = asyncio.run(run(planned.ok_value, folder))
+    try:
+        finished = asyncio.run(run(planned.ok_value, folder))
+    except asyncio.CancelledError:
+        return Err('stopped by SIGTERM')
     if isinstance(finished, Err):
         return finished
     return Ok(_write_reports(options, finished.ok_value, folder))
--- a/bench/plantainstand_bench/_load_run.py
+++ b/bench/plantainstand_bench/_load_run.py
@@ -1,6 +1,7 @@
 """One run of the load tool: processes, arrivals, faults and records."""
 
 import asyncio
+import signal
 import sys
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -70,6 +71,7 @@
         plan.commands,
         plan.seed,
     )
+    _cancel_on_sigterm()
     async with AsyncExitStack() as resources:
         resources.push_async_callback(_stop, system)
         started = await _start(system, plan)
@@ -80,6 +82,14 @@
         return Ok(await _run_load(plan, system, client, resources))
 
 
+def _cancel_on_sigterm() -> None:
+    # Without a handler SIGTERM would leave the child processes running.
+    running = asyncio.current_task()
+    if running is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, running.cancel)
+
+
 async def _start(
     system: System,
     plan: RunPlan,
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from plantainstand_bench._arrivals import (
     draw_arrivals,
     occupancy_rates,
@@ -157,6 +158,15 @@
         self.assertNotEqual(first, other)
         self.assertAlmostEqual(len(first), 2000, delta=200)
 
+    def test_rate_rises_during_the_warm_up(self) -> None:
+        """Half as many arrivals come while the rate rises from zero."""
+        rates = planned_rates(self._deployment, 1)
+        warm = msgspec.structs.replace(self._deployment, warm_up_s=10)
+        arrivals = draw_arrivals(warm, rates, 5, 1)
+        self.assertAlmostEqual(len(arrivals), 1000, delta=150)
+        early = [arrival for arrival in arrivals if arrival.at_s < 2]
+        self.assertLess(len(early), 100)
+
     def test_occupancy_leaves_out_the_lost_zone(self) -> None:
         """The rate fills the stated share of the slots that remain."""
         entries = [
