--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from plantainstand_bench._arrivals import (
     draw_arrivals,
     occupancy_rates,
@@ -110,12 +111,20 @@
                 PlannedStop(vm='v', started=100, exited=104),
                 PlannedStop(vm='w', started=100),
             ],
-            drains=[Drain(subject='target/t', targets=['t'], announced=100)],
+            drains=[
+                Drain(
+                    subject='target/t',
+                    targets=['t'],
+                    announced=100,
+                    withdrawn=108,
+                ),
+            ],
         )
         events = [
             _event(JournalKind.END, 99, 0),
             _event(JournalKind.END, 102.5, 0),
-            _event(JournalKind.END, 109, 0, 'u'),
+            _event(JournalKind.END, 107, 0, 'u'),
+            _event(JournalKind.END, 109, 0),
         ]
         times = [drain.seconds for drain in measure_drains(log, events)]
         self.assertEqual(times, [4, None, 2.5])
@@ -149,6 +158,15 @@
         self.assertNotEqual(first, other)
         self.assertAlmostEqual(len(first), 2000, delta=200)
 
+    def test_rate_rises_during_the_warm_up(self) -> None:
+        """Half as many arrivals come while the rate rises from zero."""
+        rates = planned_rates(self._deployment, 1)
+        warm = msgspec.structs.replace(self._deployment, warm_up_s=10)
+        arrivals = draw_arrivals(warm, rates, 5, 1)
+        self.assertAlmostEqual(len(arrivals), 1000, delta=150)
+        early = [arrival for arrival in arrivals if arrival.at_s < 2]
+        self.assertLess(len(early), 100)
+
     def test_occupancy_leaves_out_the_lost_zone(self) -> None:
         """The rate fills the stated share of the slots that remain."""
         entries = [
