--- a/libraries/daemon/plantainstand_daemon/_presence.py
+++ b/libraries/daemon/plantainstand_daemon/_presence.py
@@ -8,7 +8,6 @@
 import structlog
 from plantainstand_catalogue import DrainSubjectKind
 from plantainstand_core import Incarnation, LogIndex
-from plantainstand_membership import ENTRY_LIFETIME
 from plantainstand_protocol.steering_pb2 import (
     HeartbeatReply,
     HeartbeatRequest,
@@ -41,6 +40,7 @@
     open_holding,
 )
 from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._leaving import Leaving
 from plantainstand_daemon._settings import DaemonSettings
 from plantainstand_daemon._tasks import pause
 
@@ -48,9 +48,6 @@
 
 HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
 _PROPOSE_TIMEOUT = timedelta(seconds=3)
-# A caller that got its list just before the drain may use it this much later.
-_LINGER = ENTRY_LIFETIME + timedelta(milliseconds=500)
-_DEPARTURE_TIMEOUT = timedelta(seconds=4)
 _POLL_INTERVAL = timedelta(milliseconds=100)
 
 
@@ -101,8 +98,7 @@
             sole_member_grace=timedelta(seconds=settings.sole_member_grace_s),
         )
         self._status = PresenceState.JOINING
-        self._leaving_since: timedelta | None = None
-        self._idle_since: timedelta | None = None
+        self._leaving = Leaving()
         self._stopping = False
         self._holding = self._new_holding(Incarnation(0))
 
@@ -133,21 +129,11 @@
         while self._clock.monotonic() < deadline:
             if self._status is PresenceState.DEPARTED:
                 return True
-            if self._is_abandoned():
+            if self._leaving.is_abandoned(self._clock.monotonic()):
                 return False
             await pause(_POLL_INTERVAL)
         return False
 
-    def _is_abandoned(self) -> bool:
-        """Tell whether this VM is idle and no leader takes its departure.
-
-        Its shares are then reclaimed later, as those of a lost VM.
-        """
-        if self._idle_since is None:
-            return False
-        waited = self._clock.monotonic() - self._idle_since
-        return waited > _DEPARTURE_TIMEOUT
-
     async def _step(self) -> None:
         view = self._port.state.view()
         self._holding.apply(view.shares, self._clock.monotonic())
@@ -220,24 +206,20 @@
             self._change(PresenceState.SERVING)
 
     def _start_leaving(self) -> None:
-        if self._leaving_since is None:
-            self._leaving_since = self._clock.monotonic()
+        self._leaving.start(self._clock.monotonic())
         if self._status is not PresenceState.CLOSING:
             self._change(PresenceState.LEAVING)
 
     def _advance_leaving(self) -> None:
-        if self._leaving_since is None:
-            return
-        waited = self._clock.monotonic() - self._leaving_since
-        if waited < _LINGER:
+        now = self._clock.monotonic()
+        if not self._leaving.may_close(now):
             return
         self._change(PresenceState.CLOSING)
         self._port.activity.close()
         if self._is_idle():
             self._holding.ledger.close()
             self._holding.zone_support.close()
-            if self._idle_since is None:
-                self._idle_since = self._clock.monotonic()
+            self._leaving.note_idle(now)
 
     def _is_idle(self) -> bool:
         return not (self._port.activity.in_flight or self._port.unrecorded())
@@ -300,8 +282,7 @@
         if status is self._status:
             return
         if status in {PresenceState.JOINING, PresenceState.SERVING}:
-            self._leaving_since = None
-            self._idle_since = None
+            self._leaving.reset()
         _log.info('presence changed', status=status.value)
         self._status = status
         self._on_change()
