--- a/libraries/protocol/plantainstand_protocol/_channels.py
+++ b/libraries/protocol/plantainstand_protocol/_channels.py
@@ -13,6 +13,10 @@
 
 ReplyT = TypeVar('ReplyT')
 
+# grpclib raises AttributeError when another task closes the channel between
+# the start of a call and the sending of its headers.
+_BROKEN_CALL = (OSError, GRPCError, StreamTerminatedError, AttributeError)
+
 
 @dataclass(frozen=True)
 class Endpoint:
@@ -126,7 +130,7 @@
             if replace_on_timeout:
                 self._replace(endpoint, channel)
             return Err(_problem(CallFailure.TIMED_OUT, endpoint, problem))
-        except (OSError, GRPCError, StreamTerminatedError) as problem:
+        except _BROKEN_CALL as problem:
             return Err(_problem(CallFailure.BROKEN, endpoint, problem))
         return Ok(reply)
 
