Send commands to the leader in batches with backoff

The new leader used a whole core for calls it could not serve; nothing was committed for more than 60 s and every daemon was at 100 % of a core. Ruled out: the election (one new leader within a second) and the disk (idle). Change: commands wait in one queue per VM, up to 64 share a call, one call at a time while calls fail, with growing and randomised pauses. A slow commit does not close the channel; heartbeats find silent ones. Test: 300 commands without a leader cause fewer than 20 calls.

--- a/libraries/daemon/plantainstand_daemon/_control_client.py
+++ b/libraries/daemon/plantainstand_daemon/_control_client.py
@@ -1,15 +1,13 @@
 """Calls to the leader of the replicated log, whoever that is."""
 
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
+from random import Random
 from typing import TypeVar
 
 from grpclib.client import Channel
 from plantainstand_core import Clock, VmId
 from plantainstand_protocol import (
-    CallFailure,
     CallProblem,
     ChannelPool,
     Endpoint,
@@ -27,12 +25,17 @@
 )
 from result import Err, Ok, Result
 
+from plantainstand_daemon._control_problems import (
+    ControlFailure,
+    ControlProblem,
+)
+from plantainstand_daemon._proposer import Proposer
 from plantainstand_daemon._settings import VoterAddress
 from plantainstand_daemon._tasks import pause
 
-# A leader commits in one round trip between regions and two disk syncs; a
-# longer silence is more likely a lost call than a slow one.
-_ATTEMPT_TIMEOUT = timedelta(milliseconds=1500)
+_READ_TIMEOUT = timedelta(milliseconds=1500)
+# Longer than the voter's own limit, so that its answer can arrive.
+_PROPOSE_TIMEOUT = timedelta(seconds=2.5)
 _HEARTBEAT_TIMEOUT = timedelta(milliseconds=1500)
 _READ_ATTEMPTS = 8
 _RETRY_PAUSE = timedelta(milliseconds=50)
@@ -40,24 +43,6 @@
 ReadReplyT = TypeVar('ReadReplyT', LookUpRecordReply, ReportReply)
 
 
-class ControlFailure(Enum):
-    """Why a command has no outcome."""
-
-    NOT_PROPOSED = 'not-proposed'
-    """No voter took the command; it has no effect, also not later."""
-
-    OUTCOME_UNKNOWN = 'outcome-unknown'
-    """A voter may have taken the command; sending it again is safe."""
-
-
-@dataclass(frozen=True)
-class ControlProblem:
-    """Why a command has no outcome."""
-
-    failure: ControlFailure
-    message: str
-
-
 class ControlClient:
     """Finds the leader and sends it commands; owned by one event loop."""
 
@@ -66,13 +51,14 @@
         voters: Sequence[VoterAddress],
         channels: ChannelPool,
         clock: Clock,
+        random_source: Random,
     ) -> None:
         """Use ``channels`` to reach ``voters``."""
         self._endpoints = {voter.vm: voter.endpoint for voter in voters}
         self._order = [voter.vm for voter in voters]
         self._channels = channels
-        self._clock = clock
         self._guess = self._order[0]
+        self._proposer = Proposer(self._send_commands, clock, random_source)
 
     @property
     def leader_guess(self) -> VmId:
@@ -89,27 +75,7 @@
         The command is sent again after a lost reply, so it must carry an id
         that makes the second one harmless.
         """
-        deadline = self._clock.monotonic() + timeout
-        may_be_taken = False
-        message = 'no voter was asked'
-        while self._clock.monotonic() < deadline:
-            time_left = deadline - self._clock.monotonic()
-            asked = self._guess
-            called = await self._propose_once(command, time_left)
-            if isinstance(called, Ok):
-                reply = called.ok_value
-                if reply.status == ProposeReply.COMMITTED:
-                    return Ok(reply.outcome)
-                may_be_taken |= reply.status != ProposeReply.NOT_LEADER
-                message = _status_text(asked, reply)
-                self._note_leader(asked, VmId(reply.leader))
-            else:
-                problem = called.err_value
-                may_be_taken |= problem.failure is not CallFailure.NOT_SENT
-                message = str(problem)
-                self._note_leader(asked, VmId(''))
-            await pause(_RETRY_PAUSE)
-        return Err(_control_problem(may_be_taken, message))
+        return await self._proposer.propose(command, timeout)
 
     async def heartbeat(
         self,
@@ -162,7 +128,7 @@
             called = await self._channels.call(
                 self._endpoint(),
                 method,
-                _ATTEMPT_TIMEOUT,
+                _READ_TIMEOUT,
             )
             if isinstance(called, Err):
                 message = str(called.err_value)
@@ -175,17 +141,25 @@
             await pause(_RETRY_PAUSE)
         return Err(ControlProblem(ControlFailure.NOT_PROPOSED, message))
 
-    async def _propose_once(
+    async def _send_commands(
         self,
-        command: bytes,
-        time_left: timedelta,
+        commands: Sequence[bytes],
     ) -> Result[ProposeReply, CallProblem]:
-        request = ProposeRequest(command=command)
-        return await self._channels.call(
+        asked = self._guess
+        request = ProposeRequest(commands=commands)
+        # Heartbeats find out whether the channel is silent. A slow commit is
+        # no sign of that, and to close the channel would break other calls.
+        called: Result[ProposeReply, CallProblem] = await self._channels.call(
             self._endpoint(),
             lambda channel: ControlStub(channel).Propose(request),
-            min(time_left, _ATTEMPT_TIMEOUT),
+            _PROPOSE_TIMEOUT,
+            replace_on_timeout=False,
         )
+        if isinstance(called, Err):
+            self._note_leader(asked, VmId(''))
+        elif called.ok_value.leader != asked:
+            self._note_leader(asked, VmId(called.ok_value.leader))
+        return called
 
     def _endpoint(self) -> Endpoint:
         return self._endpoints[self._guess]
@@ -199,15 +173,3 @@
             return
         place = self._order.index(asked)
         self._guess = self._order[(place + 1) % len(self._order)]
-
-
-def _status_text(asked: VmId, reply: ProposeReply) -> str:
-    name = ProposeReply.Status.Name(reply.status)
-    return f'voter {asked} answered {name}'
-
-
-def _control_problem(may_be_taken: bool, message: str) -> ControlProblem:
-    failure = ControlFailure.NOT_PROPOSED
-    if may_be_taken:
-        failure = ControlFailure.OUTCOME_UNKNOWN
-    return ControlProblem(failure, message)
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_control_problems.py
@@ -0,0 +1,22 @@
+"""Why a command has no outcome."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class ControlFailure(Enum):
+    """Why a command has no outcome."""
+
+    NOT_PROPOSED = 'not-proposed'
+    """No voter took the command; it has no effect, also not later."""
+
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    """A voter may have taken the command; sending it again is safe."""
+
+
+@dataclass(frozen=True)
+class ControlProblem:
+    """Why a command has no outcome."""
+
+    failure: ControlFailure
+    message: str
--- a/libraries/daemon/plantainstand_daemon/_control_service.py
+++ b/libraries/daemon/plantainstand_daemon/_control_service.py
@@ -41,6 +41,7 @@
     LookUpRecordRequest,
     ProposeReply,
     ProposeRequest,
+    ProposeResult,
     ReportReply,
     ReportRequest,
     VmReport,
@@ -68,7 +69,7 @@
 from plantainstand_daemon._instruments import Instruments
 from plantainstand_daemon._leader import Leader
 
-_PROPOSE_TIMEOUT = timedelta(seconds=1.4)
+_PROPOSE_TIMEOUT = timedelta(seconds=2)
 _READ_TIMEOUT = timedelta(seconds=1)
 _KEEP_ALIVE = timedelta(milliseconds=500)
 # A follower further behind than this gets a snapshot, which costs less than
@@ -119,19 +120,14 @@
         self,
         stream: Stream[ProposeRequest, ProposeReply],
     ) -> None:
-        """Commit one command and return its outcome."""
+        """Commit commands and return their outcomes."""
         request = await stream.recv_message()
         if request is None:
             return
-        proposed = await self._replica.propose(
-            self._stamp(request.command),
-            _PROPOSE_TIMEOUT,
-        )
-        if isinstance(proposed, Ok):
-            reply = ProposeReply(outcome=proposed.ok_value)
-        else:
-            reply = _refusal(proposed.err_value)
-        await stream.send_message(reply)
+        proposals = (self._propose(command) for command in request.commands)
+        results = await asyncio.gather(*proposals)
+        leader = self._replica.status().leader or ''
+        await stream.send_message(ProposeReply(results=results, leader=leader))
 
     async def Follow(  # noqa: N802
         self,
@@ -205,6 +201,15 @@
             reply = LookUpRecordReply(outcome=encode_outcome(found))
         await stream.send_message(reply)
 
+    async def _propose(self, command: bytes) -> ProposeResult:
+        proposed = await self._replica.propose(
+            self._stamp(command),
+            _PROPOSE_TIMEOUT,
+        )
+        if isinstance(proposed, Ok):
+            return ProposeResult(outcome=proposed.ok_value)
+        return ProposeResult(status=_refusal(proposed.err_value))
+
     def _stamp(self, command: bytes) -> bytes:
         if command_kind(command) is not CommandKind.RECORDS:
             return command
@@ -329,17 +334,13 @@
     )
 
 
-def _refusal(problem: ProposeProblem) -> ProposeReply:
-    if isinstance(problem, NotLeader):
-        return ProposeReply(
-            status=ProposeReply.NOT_LEADER,
-            leader=problem.leader or '',
-        )
-    if isinstance(problem, Overloaded):
-        # Not in the log, so the caller may safely ask again.
-        return ProposeReply(status=ProposeReply.NOT_LEADER)
-    if isinstance(problem, Stopped):
-        return ProposeReply(status=ProposeReply.STOPPED)
-    if isinstance(problem, StorageFailed):
-        return ProposeReply(status=ProposeReply.STORAGE_FAILED)
-    return ProposeReply(status=ProposeReply.TIMED_OUT)
+def _refusal(problem: ProposeProblem) -> 'ProposeResult.Status.ValueType':
+    match problem:
+        # An overloaded leader has not put the command into its log either.
+        case NotLeader() | Overloaded():
+            return ProposeResult.NOT_LEADER
+        case Stopped():
+            return ProposeResult.STOPPED
+        case StorageFailed():
+            return ProposeResult.STORAGE_FAILED
+    return ProposeResult.TIMED_OUT
--- a/libraries/daemon/plantainstand_daemon/_operator_api.py
+++ b/libraries/daemon/plantainstand_daemon/_operator_api.py
@@ -30,7 +30,7 @@
 from plantainstand_protocol.steering_pb2 import ReportReply
 from result import Err, Ok, Result
 
-from plantainstand_daemon._control_client import (
+from plantainstand_daemon._control_problems import (
     ControlFailure,
     ControlProblem,
 )
--- a/libraries/daemon/plantainstand_daemon/_operator_bridge.py
+++ b/libraries/daemon/plantainstand_daemon/_operator_bridge.py
@@ -12,8 +12,8 @@
 from result import Err, Result
 
 from plantainstand_daemon._caller_bridge import CallerBridge
-from plantainstand_daemon._control_client import (
-    ControlClient,
+from plantainstand_daemon._control_client import ControlClient
+from plantainstand_daemon._control_problems import (
     ControlFailure,
     ControlProblem,
 )
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_proposer.py
@@ -0,0 +1,149 @@
+"""Sends commands to the leader in batches, with backoff."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from plantainstand_core import Clock
+from plantainstand_protocol import CallFailure, CallProblem
+from plantainstand_protocol.steering_pb2 import ProposeReply, ProposeResult
+from result import Err, Ok, Result
+
+from plantainstand_daemon._control_problems import (
+    ControlFailure,
+    ControlProblem,
+)
+from plantainstand_daemon._tasks import pause
+
+_MAX_BATCH = 64
+_MAX_CALLS = 4
+_FIRST_BACKOFF = timedelta(milliseconds=20)
+_MAX_DOUBLINGS = 6
+
+Send = Callable[
+    [Sequence[bytes]],
+    Awaitable[Result[ProposeReply, CallProblem]],
+]
+Outcome = Result[bytes, ControlProblem]
+
+
+@dataclass
+class _Pending:
+    command: bytes
+    future: asyncio.Future[Outcome]
+    may_be_taken: bool = False
+    message: str = 'no voter was asked'
+
+    def expire(self) -> None:
+        """End without an outcome."""
+        if not self.future.done():
+            failure = ControlFailure.NOT_PROPOSED
+            if self.may_be_taken:
+                failure = ControlFailure.OUTCOME_UNKNOWN
+            self.future.set_result(Err(ControlProblem(failure, self.message)))
+
+
+class Proposer:
+    """Commands of one VM on their way to the log; owned by the event loop.
+
+    Many commands share a call, and while calls fail only one is made at a
+    time, with growing pauses. Without that, the commands that wait for a new
+    leader were all sent again at short intervals, and the new leader had no
+    processor time left to commit any of them.
+    """
+
+    def __init__(
+        self,
+        send: Send,
+        clock: Clock,
+        random_source: Random,
+    ) -> None:
+        """Make calls with ``send``."""
+        self._send = send
+        self._clock = clock
+        self._random = random_source
+        self._waiting: deque[_Pending] = deque()
+        self._calls: set[asyncio.Task[None]] = set()
+        self._failures = 0
+
+    async def propose(self, command: bytes, timeout: timedelta) -> Outcome:
+        """Commit a command, or say what is known when time is over."""
+        loop = asyncio.get_running_loop()
+        pending = _Pending(command, loop.create_future())
+        timer = loop.call_later(timeout.total_seconds(), pending.expire)
+        self._waiting.append(pending)
+        self._start_calls()
+        try:
+            return await pending.future
+        finally:
+            timer.cancel()
+
+    def _start_calls(self) -> None:
+        limit = 1 if self._failures else _MAX_CALLS
+        while len(self._calls) < limit:
+            batch = self._take_batch()
+            if not batch:
+                return
+            call = asyncio.ensure_future(self._call(batch))
+            self._calls.add(call)
+            call.add_done_callback(self._end_call)
+
+    def _end_call(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        if not call.cancelled():
+            self._start_calls()
+
+    def _take_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        while self._waiting and len(batch) < _MAX_BATCH:
+            pending = self._waiting.popleft()
+            if not pending.future.done():
+                batch.append(pending)
+        return batch
+
+    async def _call(self, batch: Sequence[_Pending]) -> None:
+        called = await self._send([pending.command for pending in batch])
+        if isinstance(called, Err):
+            _note_failed_call(batch, called.err_value)
+        else:
+            _note_results(batch, called.ok_value.results)
+        undone = [pending for pending in batch if not pending.future.done()]
+        if not undone:
+            self._failures = 0
+            return
+        self._waiting.extendleft(reversed(undone))
+        self._failures = min(self._failures + 1, _MAX_DOUBLINGS)
+        await pause(self._backoff())
+
+    def _backoff(self) -> timedelta:
+        longest = _FIRST_BACKOFF * (1 << self._failures)
+        # The pauses of many VMs that lost the same leader must differ.
+        return longest * self._random.uniform(0.5, 1)
+
+
+def _note_failed_call(
+    batch: Sequence[_Pending],
+    problem: CallProblem,
+) -> None:
+    for pending in batch:
+        pending.message = str(problem)
+        if problem.failure is not CallFailure.NOT_SENT:
+            pending.may_be_taken = True
+
+
+def _note_results(
+    batch: Sequence[_Pending],
+    results: Sequence[ProposeResult],
+) -> None:
+    for pending, told in zip(batch, results, strict=False):
+        if pending.future.done():
+            continue
+        if told.status == ProposeResult.COMMITTED:
+            pending.future.set_result(Ok(told.outcome))
+            continue
+        pending.message = ProposeResult.Status.Name(told.status)
+        if told.status != ProposeResult.NOT_LEADER:
+            pending.may_be_taken = True
--- a/libraries/daemon/plantainstand_daemon/_recorded.py
+++ b/libraries/daemon/plantainstand_daemon/_recorded.py
@@ -33,8 +33,8 @@
 from result import Err, Ok, Result
 
 from plantainstand_daemon._caller_api import Refusable, RequestRefused
-from plantainstand_daemon._control_client import (
-    ControlClient,
+from plantainstand_daemon._control_client import ControlClient
+from plantainstand_daemon._control_problems import (
     ControlFailure,
     ControlProblem,
 )
--- a/libraries/daemon/plantainstand_daemon/_steering_parts.py
+++ b/libraries/daemon/plantainstand_daemon/_steering_parts.py
@@ -75,6 +75,7 @@
             settings.voters,
             resources.channels,
             instruments.clock,
+            instruments.random_source,
         )
         self._admission = SlotAdmission(instruments.clock)
         self.exchange = Exchange(
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from plantainstand_core import LogIndex, ManualClock, RequestId
-from plantainstand_daemon._control_client import (
+from plantainstand_daemon._control_problems import (
     ControlFailure,
     ControlProblem,
 )
--- /dev/null
+++ b/tests/daemon/test_proposer.py
@@ -0,0 +1,105 @@
+"""Commands reach the log without a flood of calls after a lost leader."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from random import Random
+
+from plantainstand_core import SystemClock
+from plantainstand_daemon._control_problems import ControlFailure
+from plantainstand_daemon._proposer import Proposer
+from plantainstand_protocol import CallFailure, CallProblem, Endpoint
+from plantainstand_protocol.steering_pb2 import ProposeReply, ProposeResult
+from result import Err, Ok, Result
+
+Called = Result[ProposeReply, CallProblem]
+
+_LONG = timedelta(seconds=5)
+_SHORT = timedelta(milliseconds=100)
+
+
+def _failed(failure: CallFailure) -> Called:
+    return Err(CallProblem(failure, Endpoint('127.0.0.1', 1), 'test'))
+
+
+def _statuses(status: 'ProposeResult.Status.ValueType') -> Called:
+    return Ok(ProposeReply(results=[ProposeResult(status=status)]))
+
+
+class ProposerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against lost outcomes and against retry storms."""
+
+    def setUp(self) -> None:
+        """Answer each call by committing its commands."""
+        self.calls: list[Sequence[bytes]] = []
+        self.answer: Callable[[Sequence[bytes]], Called] = self._commit
+        self.proposer = Proposer(self._send, SystemClock(), Random(1))
+
+    async def test_outcomes_match_commands(self) -> None:
+        """Each command gets its own outcome, also out of a batch."""
+        commands = [str(number).encode() for number in range(200)]
+        outcomes = await asyncio.gather(
+            *(self.proposer.propose(command, _LONG) for command in commands),
+        )
+        found = [outcome.unwrap() for outcome in outcomes]
+        self.assertEqual(found, [b'done ' + command for command in commands])
+        self.assertLess(len(self.calls), 10)
+
+    async def test_failures(self) -> None:
+        """What is said without an outcome depends on what was seen."""
+        cases = (
+            (_failed(CallFailure.NOT_SENT), ControlFailure.NOT_PROPOSED),
+            (_failed(CallFailure.TIMED_OUT), ControlFailure.OUTCOME_UNKNOWN),
+            (_failed(CallFailure.BROKEN), ControlFailure.OUTCOME_UNKNOWN),
+            (_statuses(ProposeResult.NOT_LEADER), ControlFailure.NOT_PROPOSED),
+            (
+                _statuses(ProposeResult.TIMED_OUT),
+                ControlFailure.OUTCOME_UNKNOWN,
+            ),
+            (
+                _statuses(ProposeResult.STORAGE_FAILED),
+                ControlFailure.OUTCOME_UNKNOWN,
+            ),
+        )
+        for called, expected in cases:
+            with self.subTest(called=called):
+                self.answer = _always(called)
+                outcome = await self.proposer.propose(b'1', _SHORT)
+                self.assertIs(outcome.unwrap_err().failure, expected)
+
+    async def test_one_call_at_a_time_while_failing(self) -> None:
+        """Commands that wait for a new leader share few calls."""
+        self.answer = _always(_failed(CallFailure.TIMED_OUT))
+        waiting = [
+            asyncio.ensure_future(self.proposer.propose(b'1', _SHORT))
+            for _ in range(300)
+        ]
+        await asyncio.gather(*waiting)
+        # Four calls may start before the first one has failed.
+        self.assertLess(len(self.calls), 20)
+
+    async def test_recovers(self) -> None:
+        """A command is sent again until a leader takes it."""
+        answers = iter((_failed(CallFailure.BROKEN), None))
+
+        def answer(commands: Sequence[bytes]) -> Called:
+            return next(answers) or self._commit(commands)
+
+        self.answer = answer
+        outcome = await self.proposer.propose(b'1', _LONG)
+        self.assertEqual(outcome.unwrap(), b'done 1')
+
+    async def _send(self, commands: Sequence[bytes]) -> Called:
+        self.calls.append(commands)
+        return self.answer(commands)
+
+    def _commit(self, commands: Sequence[bytes]) -> Called:
+        results = [
+            ProposeResult(outcome=b'done ' + command) for command in commands
+        ]
+        return Ok(ProposeReply(results=results))
+
+
+def _always(called: Called) -> Callable[[Sequence[bytes]], Called]:
+    return lambda _commands: called
