--- a/libraries/consensus/plantainstand_consensus/_opening.py
+++ b/libraries/consensus/plantainstand_consensus/_opening.py
@@ -231,13 +231,9 @@
 
 
 def _read_all(journal: Journal) -> Result[Sequence[Entry], StorageProblem]:
-    entries: list[Entry] = []
-    for index in range(journal.first_index, journal.last_index + 1):
-        record = journal.read(LogIndex(index))
-        if isinstance(record, Err):
-            return record
-        entries.append(decode_entry(record.ok_value))
-    return Ok(entries)
+    return journal.read_all().map(
+        lambda records: [decode_entry(record) for record in records],
+    )
 
 
 def _agrees(
--- a/libraries/storage/plantainstand_storage/_journal.py
+++ b/libraries/storage/plantainstand_storage/_journal.py
@@ -131,6 +131,17 @@
         ]
         return catching(self._folder, lambda: holding[0].read(index))
 
+    def read_all(self) -> Result[Sequence[bytes], StorageProblem]:
+        """Return every record, checked again, from ``first_index`` on."""
+        return catching(
+            self._folder,
+            lambda: [
+                record
+                for segment in self._segments
+                for record in segment.read_all()
+            ],
+        )
+
     def truncate_from(self, index: LogIndex) -> Result[None, StorageProblem]:
         """Remove the records from ``index`` on; durable on return."""
         return self._guard(lambda: self._truncate(index))
--- a/libraries/storage/plantainstand_storage/_segment.py
+++ b/libraries/storage/plantainstand_storage/_segment.py
@@ -132,12 +132,19 @@
             end = self._offsets[position + 1]
         content = self._file_system.read_range(self.path, start, end - start)
         record = decode_record(content, 0, self.first_index, start)
-        if record is None or record.index != index:
-            raise CorruptionError(
-                self.path,
-                f'entry {index} at offset {start} is damaged',
+        return self._checked(record, index, start)
+
+    def read_all(self) -> Sequence[bytes]:
+        """Return all payloads, with one read of the file."""
+        content = self._file_system.read(self.path)
+        return [
+            self._checked(
+                decode_record(content, offset, self.first_index),
+                index,
+                offset,
             )
-        return record.payload
+            for index, offset in enumerate(self._offsets, self.first_index)
+        ]
 
     def close(self) -> None:
         """Close the file if it is open."""
@@ -151,6 +158,19 @@
         self._file_system.remove(self.path)
         self._file_system.sync_folder(self.path.parent)
 
+    def _checked(
+        self,
+        record: Record | None,
+        index: int,
+        offset: int,
+    ) -> bytes:
+        if record is None or record.index != index:
+            raise CorruptionError(
+                self.path,
+                f'entry {index} at offset {offset} is damaged',
+            )
+        return record.payload
+
     def _opened(self) -> AppendFile:
         if self._file is None:
             self._file = self._file_system.open_append(self.path)
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -44,8 +44,12 @@
 
 
 def _contents(journal: Journal) -> dict[int, bytes]:
-    indexes = range(journal.first_index, journal.last_index + 1)
-    return {index: journal.read(LogIndex(index)).unwrap() for index in indexes}
+    records = journal.read_all().unwrap()
+    contents = dict(enumerate(records, journal.first_index))
+    for index, record in contents.items():
+        if journal.read(LogIndex(index)).unwrap() != record:
+            raise AssertionError(f'two values of record {index}')
+    return contents
 
 
 def _filled(disk: SimulatedFileSystem) -> Journal:
@@ -153,11 +157,10 @@
         disk = SimulatedFileSystem()
         journal = _filled(disk)
         disk.flip_bit(disk.paths()[0], 52 * 8)
-        damage = journal.read(journal.first_index)
-        self.assertEqual(
-            damage.unwrap_err().kind,
-            StorageProblemKind.CORRUPT,
-        )
+        single = journal.read(journal.first_index).unwrap_err()
+        everything = journal.read_all().unwrap_err()
+        self.assertEqual(single.kind, StorageProblemKind.CORRUPT)
+        self.assertEqual(everything, single)
 
     def test_missing_files(self) -> None:
         """A missing segment or a missing journal is refused."""
