Test that slow disks do not change the leader

Syncs of 1.2 s are longer than the longest election timeout. Heartbeats and their answers do not wait for them; a test on simulated time now guards this.

--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -80,6 +80,7 @@
         self.machines: dict[VmId, _Items] = {}
         self.tasks: dict[VmId, asyncio.Task[None]] = {}
         self.cut: set[VmId] = set()
+        self.sync_s: float = 0
 
     def start(self, vm: VmId) -> None:
         loop = asyncio.get_running_loop()
@@ -92,7 +93,7 @@
             random_source=random.Random(vm),
             snapshot_interval_entries=50,
             retained_entries=10,
-            run_blocking=run_here,
+            run_blocking=self.run_slowly,
         )
         self.replicas[vm] = LogReplica(
             storage.unwrap(),
@@ -102,6 +103,10 @@
         )
         self.tasks[vm] = asyncio.create_task(self.replicas[vm].run())
 
+    async def run_slowly(self, action: Callable[[], None]) -> None:
+        await asyncio.sleep(self.sync_s)
+        await run_here(action)
+
     async def stop(self, vm: VmId) -> None:
         self.tasks[vm].cancel()
         await asyncio.wait((self.tasks[vm],))
@@ -208,6 +213,22 @@
 
         _with_fleet(test)
 
+    def test_slow_disks(self) -> None:
+        """Syncs that take longer than an election timeout change no leader."""
+
+        async def test(fleet: _Fleet) -> None:
+            leader = await fleet.leader()
+            before = leader.status().term
+            fleet.sync_s = 1.2
+            call = asyncio.create_task(leader.propose(b'x', _TIMEOUT))
+            while not call.done():
+                self.assertTrue(leader.status().has_quorum_contact)
+                await asyncio.sleep(0.1)
+            self.assertTrue((await call).is_ok())
+            self.assertEqual(leader.status().term, before)
+
+        _with_fleet(test)
+
     def test_failed_disk(self) -> None:
         """A voter whose disk fails stops; the others go on."""
 
