--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_voter.py
@@ -0,0 +1,126 @@
+"""The voter role: this VM's replica of the log."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+from pathlib import Path
+
+from plantainstand_consensus import (
+    LogReplica,
+    Message,
+    ReplicaOptions,
+    encode_message,
+    open_voter,
+)
+from plantainstand_core import VmId
+from plantainstand_protocol import ChannelPool, Endpoint
+from plantainstand_protocol.steering_grpc import ConsensusStub
+from plantainstand_protocol.steering_pb2 import ConsensusEnvelope
+from plantainstand_storage import StorageProblem
+from result import Err, Ok, Result
+
+from plantainstand_daemon._control_state import ControlState
+from plantainstand_daemon._instruments import Instruments
+from plantainstand_daemon._settings import VoterAddress
+
+_SEND_TIMEOUT = timedelta(milliseconds=1500)
+# Calls and messages that wait for a slow or silent voter; the log resends
+# what is dropped.
+_MAX_CALLS = 64
+_MAX_WAITING = 256
+# A call costs a voter about a millisecond of processor time, and the messages
+# of two milliseconds fit into one.
+_GATHER_S = 0.002
+
+
+class RpcTransport:
+    """Delivers consensus messages over gRPC."""
+
+    def __init__(
+        self,
+        own: VmId,
+        endpoints: Mapping[VmId, Endpoint],
+        channels: ChannelPool,
+    ) -> None:
+        """Send as ``own``."""
+        self._lanes = {
+            destination: _Lane(own, endpoint, channels)
+            for destination, endpoint in endpoints.items()
+        }
+
+    def send(self, destination: VmId, message: Message) -> None:
+        """Send without blocking, or drop the message."""
+        lane = self._lanes.get(destination)
+        if lane is not None:
+            lane.send(encode_message(message))
+
+
+class _Lane:
+    """Messages to one voter, those of a short time in one call."""
+
+    def __init__(
+        self,
+        own: VmId,
+        endpoint: Endpoint,
+        channels: ChannelPool,
+    ) -> None:
+        self._own = own
+        self._endpoint = endpoint
+        self._channels = channels
+        self._waiting: list[bytes] = []
+        self._calls: set[asyncio.Task[None]] = set()
+        self._is_scheduled = False
+
+    def send(self, payload: bytes) -> None:
+        if len(self._waiting) >= _MAX_WAITING:
+            return
+        self._waiting.append(payload)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_later(_GATHER_S, self._flush)
+
+    def _flush(self) -> None:
+        self._is_scheduled = False
+        payloads = self._waiting
+        self._waiting = []
+        if len(self._calls) >= _MAX_CALLS:
+            return
+        envelope = ConsensusEnvelope(source=self._own, payloads=payloads)
+        task = asyncio.ensure_future(self._deliver(envelope))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _deliver(self, envelope: ConsensusEnvelope) -> None:
+        # A lost message needs nothing here: the log sends it again.
+        await self._channels.call(
+            self._endpoint,
+            lambda channel: ConsensusStub(channel).Deliver(envelope),
+            _SEND_TIMEOUT,
+        )
+
+
+def open_replica(
+    vm: VmId,
+    folder: Path,
+    voters: Sequence[VoterAddress],
+    state: ControlState,
+    channels: ChannelPool,
+    instruments: Instruments,
+) -> Result[LogReplica, StorageProblem]:
+    """Open the data folder and build the replica of this VM."""
+    opened = open_voter(folder, vm)
+    if isinstance(opened, Err):
+        return opened
+    endpoints = {voter.vm: voter.endpoint for voter in voters if voter.vm != vm}
+    return Ok(
+        LogReplica(
+            opened.ok_value,
+            state,
+            RpcTransport(vm, endpoints, channels),
+            ReplicaOptions(
+                peers=tuple(endpoints),
+                clock=instruments.clock,
+                random_source=instruments.random_source,
+            ),
+        ),
+    )
