Let more of the request model's steps reach a dispatch

Cause: of 663 model runs only 12 dispatched a request; time, leader changes, crashes and cancels ended most attempts first. A copy that ignored the incarnation was caught by the table only.

Ruled out: more examples alone; 600 instead of 400 did not find it.

Change: limits on waits, leader changes, cancels and abandons in a run; a step can end with a crash of the process that took it; callers send again after a crash.

--- a/tests/records/test_requests.py
+++ b/tests/records/test_requests.py
@@ -19,8 +19,12 @@
 
 _START = datetime(2026, 1, 1, tzinfo=UTC)
 _VMS = (VmId('a'), VmId('b'))
-_MAX_REQUESTS = 3
+_MAX_REQUESTS = 6
 _MAX_ATTEMPTS = 4
+# Without limits, most steps would end attempts before they run.
+_MAX_WAITS = 3
+_MAX_LEADERS = 5
+_MAX_ENDS = 3
 _CONTENT = records.Fingerprint(b'same content')
 # Minutes by which the clocks of callers and of successive leaders differ:
 # together up to 8, where 5 are tolerated.
@@ -33,9 +37,11 @@
     HEARD = auto()
     ANSWER_LOST = auto()
     DELAYED = auto()
+    CRASH = auto()
+    """The step is taken, and the process that took it crashes."""
 
 
-@dataclass
+@dataclass(eq=False)
 class _Attempt:
     """A caller's request at one process of an entry VM."""
 
@@ -62,6 +68,9 @@
         super().__init__()
         self.now = _START
         self.skew = timedelta(0)
+        self.waits = 0
+        self.leaders = 1
+        self.ends = 0
         self.state = records.RecordState()
         self.requests: list[RequestId] = []
         self.attempts: list[_Attempt] = []
@@ -90,11 +99,14 @@
         # Older attempts count as frozen for good.
         self.attempts = self.attempts[-_MAX_ATTEMPTS:]
 
+    @precondition(lambda test: test.attempts)
     @rule(fate=_fates)
     def advance_all(self, fate: _Fate) -> None:
         """Every attempt takes its next step."""
-        for attempt in self.attempts:
-            self.advance(attempt, fate)
+        for attempt in tuple(self.attempts):
+            # A crash in an earlier step may have ended it.
+            if attempt in self.attempts:
+                self.advance(attempt, fate)
 
     @precondition(lambda test: test.attempts)
     @rule(attempt=_attempts, fate=_fates)
@@ -114,20 +126,24 @@
             attempt.has_executed = True
         else:
             self._propose(attempt, self._admit(attempt), fate)
+        if fate is _Fate.CRASH:
+            self.crash(attempt.admission.vm)
 
-    @precondition(lambda test: test.attempts)
+    @precondition(lambda test: test.attempts and test.ends < _MAX_ENDS)
     @rule(attempt=_attempts, fate=_fates)
     def give_up(self, attempt: _Attempt, fate: _Fate) -> None:
         """No target accepted the request, or no admission came in time."""
         if not attempt.has_executed:
+            self.ends += 1
             attempt.is_over = True
             command = self._abandon(attempt.request, attempt.admission)
             self._propose(attempt, command, fate)
 
-    @precondition(lambda test: test.requests)
+    @precondition(lambda test: test.requests and test.ends < _MAX_ENDS)
     @rule(request=_requests, vm=_vms)
     def cancel(self, request: RequestId, vm: VmId) -> None:
         """A caller cancels at a VM, perhaps the one that runs it."""
+        self.ends += 1
         command = self._abandon(request, self._next_admission(vm))
         self._tell(request, self._commit(command))
 
@@ -137,29 +153,38 @@
         """A proposal commits late, perhaps twice; its sender gave it up."""
         self._commit(command)
 
+    @precondition(lambda test: test.attempts)
     @rule(vm=_vms)
     def crash(self, vm: VmId) -> None:
-        """A process loses its attempts; the next one counts anew."""
+        """A process loses its attempts; the next one counts anew.
+
+        Callers that have waited there send their requests again.
+        """
         self.incarnations[vm] += 1
         self.counts[vm] = 0
-        self.attempts = [
-            attempt for attempt in self.attempts if attempt.admission.vm != vm
-        ]
+        lost = [item for item in self.attempts if item.admission.vm == vm]
+        self.attempts = [item for item in self.attempts if item not in lost]
+        for attempt in lost:
+            self.arrive(attempt.request, {vm})
 
+    @precondition(lambda test: test.told and test.waits < _MAX_WAITS)
     @rule(wait=st.sampled_from(_WAITS), minutes=st.sampled_from(_LEADER_SKEWS))
     def wait(self, wait: timedelta, minutes: int) -> None:
         """Time passes, much longer than any deadline, under a new leader."""
+        self.waits += 1
         self.now += wait
         self.skew = timedelta(minutes=minutes)
         for attempt in self.attempts:
             attempt.is_over = True
 
+    @precondition(lambda test: test.leaders < _MAX_LEADERS)
     @rule(minutes=st.sampled_from(_LEADER_SKEWS))
     def change_leader(self, minutes: int) -> None:
         """The leader forgets what is old; another one takes over.
 
         A voter that restarts from a snapshot goes on alike.
         """
+        self.leaders += 1
         self._commit(records.Forget(self.now))
         self.skew = timedelta(minutes=minutes)
         copy = records.RecordState()
@@ -239,7 +264,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=400,
+    max_examples=500,
     stateful_step_count=40,
     suppress_health_check=tuple(HealthCheck),
 )
