Test that a new request does not overtake a waiting one

Change: a case frees a slot without a call of capacity_freed and submits a request. The starvation property releases a bounded number of slots and checks that each request ends once.

--- a/tests/steering/test_admission.py
+++ b/tests/steering/test_admission.py
@@ -123,6 +123,17 @@
         harness.release(first)
         self.assertEqual(harness.log[-1], ('r3', 'started'))
 
+    def test_no_overtaking(self) -> None:
+        """A new request takes the slot that was freed for a waiting one."""
+        harness = _Harness()
+        first = harness.submit()
+        harness.submit()
+        harness.running.pop(first)
+        harness.submit()
+        self.assertEqual(harness.log[1:], [])
+        harness.note(harness.scheduler.capacity_freed())
+        self.assertEqual(harness.log[1:], [('r2', 'started')])
+
     def test_refusals(self) -> None:
         """A refusal later than possible, or of the wrong request."""
         cases = (
@@ -203,8 +214,9 @@
         harness = _Harness(length=20, service_time=_SECOND / 100)
         for service in services:
             harness.submit(service=service)
-        while harness.running:
+        for _ in services:
             harness.release(next(iter(harness.running)))
+        self.assertEqual(set(harness.ends.values()) - {1}, set())
         started = [name for name, _ in harness.log]
         for service in harness.slots:
             numbers = [
