Keep waiting requests when a service gets another queue

Cause: the daemon makes a new AdmissionQueue when a service's entry changes. The scheduler took it over and dropped the old one with its waiting requests, which then neither started nor were refused.

Ruled out: a rule that a kept service keeps its queue object, as documented before; the bound is a constructor argument, so a changed bound needs a new object.

Change: AdmissionScheduler.replace_queues moves waiting requests to the new queue in order of class and arrival, and refuses those beyond its bound.

Figures: the new case fails on the code before and passes after. 39 steering and 16 membership tests pass. One test of the daemon failed in 2 of 17 runs of its folder with the change and in none of 15 without it, on a machine with a load above 20; its name was not recorded and later runs did not repeat it.

--- a/libraries/steering/plantainstand_steering/_scheduler.py
+++ b/libraries/steering/plantainstand_steering/_scheduler.py
@@ -84,15 +84,15 @@
     ) -> Sequence[Refused]:
         """Take over a changed set of services.
 
-        A queue of a kept service must be the same object. Requests that wait
-        for a removed service are refused.
+        Requests that wait for a removed service are refused. When a service
+        gets another queue object, its waiting requests move there; those
+        beyond the new bound are refused, the lowest class first.
         """
-        removed = self._queues.keys() - queues.keys()
-        refused = [
-            Refused(waiting.request, ShedReason.NO_SLOTS)
-            for service in sorted(removed)
-            for waiting in _drain(self._queues[service])
-        ]
+        refused: list[Refused] = []
+        for service, old in self._queues.items():
+            new = queues.get(service)
+            if new is not old:
+                refused.extend(_move_waiting(old, new))
         self._queues = dict(queues)
         return refused
 
@@ -231,6 +231,19 @@
             return
 
 
+def _move_waiting(
+    old: AdmissionQueue,
+    new: AdmissionQueue | None,
+) -> Iterator[Refused]:
+    for waiting in _drain(old):
+        if new is None:
+            yield Refused(waiting.request, ShedReason.NO_SLOTS)
+        elif new.is_full:
+            yield Refused(waiting.request, ShedReason.QUEUE_FULL)
+        else:
+            new.add(waiting)
+
+
 def _drain(queue: AdmissionQueue) -> Iterator[Waiting]:
     for traffic_class in CLASSES:
         waiting = queue.head(traffic_class)
--- a/tests/steering/test_admission.py
+++ b/tests/steering/test_admission.py
@@ -176,6 +176,22 @@
         self.assertEqual(harness.log[1:], [('r2', 'deadline passed')])
         self.assertIsNone(harness.scheduler.next_expiry())
 
+    def test_replaced_queue(self) -> None:
+        """Requests that vanish when a service's limits change."""
+        harness = _Harness()
+        first = harness.submit()
+        for traffic_class in (_BACKGROUND, _NORMAL, _CRITICAL):
+            harness.submit(traffic_class)
+        queues = {**harness.queues, _ORDER: AdmissionQueue(2, _SECOND)}
+        queues[_ORDER].resize(1)
+        harness.note(harness.scheduler.replace_queues(queues))
+        self.assertEqual(harness.log[1:], [('r2', 'queue full')])
+        harness.release(first)
+        harness.release(RequestId('r4'))
+        self.assertEqual(
+            harness.log[2:], [('r4', 'started'), ('r3', 'started')]
+        )
+
     def test_removed_service(self) -> None:
         """Requests that vanish with the service they wait for."""
         harness = _Harness()
