Pay hedges from their own tokens and never hedge at the same target

Cause: a hedge spent the tokens that are kept for retries, the result of the retry's payment was ignored, and a hedge could be sent to the target that admission had picked for the first attempt, because only the ranked one was noted. Change: hedges use the budget's part for them, the picked target is excluded as soon as it is known, admission picks the cheapest free target, and both waits use the same allowance.

--- a/libraries/daemon/plantainstand_daemon/_admission.py
+++ b/libraries/daemon/plantainstand_daemon/_admission.py
@@ -1,7 +1,7 @@
 """Slots of this VM's targets, given to requests in order."""
 
 import asyncio
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import count
 
@@ -13,13 +13,11 @@
     Attempt,
     AttemptResult,
     CandidateId,
-    CandidateKind,
     QueuedRequest,
-    RankedCandidate,
     Refused,
     ShedReason,
     Started,
-    rank_candidates,
+    choose_free_target,
 )
 
 from plantainstand_daemon._holding import Holding
@@ -158,46 +156,22 @@
         if runtime is None or holding is None:
             return None
         waiter = self._waiters.get(queued.request_id)
-        excluded = waiter.excluded if waiter else frozenset()
+        refused = set(waiter.excluded) if waiter else set()
         now = self._clock.monotonic()
-        for local in _ranked_targets(runtime, excluded):
+        candidate_id = choose_free_target(runtime.view, refused)
+        while candidate_id is not None:
+            local = runtime.targets[candidate_id]
             reserved = holding.ledger.reserve(local.claims, now)
             if reserved.is_ok():
+                attempt = runtime.view.start(candidate_id)
                 return Grant(
                     local,
                     holding.ledger,
                     holding,
                     reserved.unwrap(),
-                    runtime.view.start(_candidate_id(local)),
+                    attempt,
                     runtime,
                 )
+            refused.add(candidate_id)
+            candidate_id = choose_free_target(runtime.view, refused)
         return None
-
-
-def _candidate_id(local: LocalTarget) -> CandidateId:
-    return CandidateId(f'target/{local.target.id}')
-
-
-def _ranked_targets(
-    runtime: ServiceRuntime,
-    excluded: frozenset[CandidateId],
-) -> Sequence[LocalTarget]:
-    ranked = rank_candidates(
-        runtime.view,
-        excluded=excluded.union(runtime.peers),
-        limit=max(len(runtime.targets), 1),
-    )
-    return [
-        runtime.targets[place.candidate.candidate_id]
-        for place in ranked
-        if _is_free_target(place, runtime)
-    ]
-
-
-def _is_free_target(place: RankedCandidate, runtime: ServiceRuntime) -> bool:
-    candidate = place.candidate
-    return (
-        candidate.kind is CandidateKind.TARGET
-        and place.has_free_slot
-        and candidate.candidate_id in runtime.targets
-    )
--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -151,7 +151,9 @@
             excluded.update(progress.runtime.targets)
         return rank_candidates(
             progress.runtime.view,
-            queued=len(progress.runtime.queue),
+            queued=progress.runtime.queue.places_ahead(
+                progress.runtime.service.traffic_class,
+            ),
             excluded=excluded,
         )
 
@@ -179,9 +181,8 @@
             ranked[0].cost,
             budget.available,
         )
-        if not may_retry(facts):
+        if not (may_retry(facts) and budget.try_spend()):
             return False
-        budget.try_spend()
         self._metrics.count('retries_total', service=progress.request.service)
         return True
 
@@ -201,13 +202,15 @@
                 progress.request,
                 traceparent=current_traceparent(),
             )
-            local = await self._local.run(traced, excluded)
+            local = await self._local.run(
+                traced,
+                excluded,
+                progress.excluded.add,
+            )
             span.set_attribute('candidate', local.candidate_id or '')
             span.set_attribute('outcome', local.outcome.value)
         if local.candidate_id is None:
             progress.local_refused = True
-        else:
-            progress.excluded.add(local.candidate_id)
         if local.outcome is DispatchOutcome.ANSWERED:
             progress.runtime.budget.record_success()
         return _Attempt(
@@ -304,12 +307,12 @@
         facts = HedgeFacts(
             idempotent=runtime.service.idempotent,
             time_left=progress.request.deadline - self._clock.monotonic(),
-            budget_available=runtime.budget.available,
+            budget_available=runtime.budget.available_for_hedges,
             tried=(ranked.candidate, *progress.tried),
             ranked=self._rank(progress),
         )
         choice = runtime.hedge.choose(facts)
-        if choice is None or not runtime.budget.try_spend():
+        if choice is None or not runtime.budget.try_spend_on_hedge():
             return ()
         self._metrics.count('hedges_total', service=progress.request.service)
         return (asyncio.ensure_future(self._try(progress, choice)),)
--- a/libraries/daemon/plantainstand_daemon/_local.py
+++ b/libraries/daemon/plantainstand_daemon/_local.py
@@ -10,6 +10,7 @@
 from typing import TypeVar
 
 from plantainstand_core import Clock
+from plantainstand_shares import DISPATCH_ALLOWANCE
 from plantainstand_steering import AttemptResult, CandidateId, ShedReason
 from plantainstand_telemetry import Metrics
 
@@ -25,8 +26,9 @@
 
 ResultT = TypeVar('ResultT')
 
-# A target stops at its deadline; its clock and the network take a little.
-_HOLD_MARGIN = timedelta(milliseconds=250)
+# A target counts its deadline from the arrival of the request, so it may work
+# on by the time that the request was on its way.
+_HOLD_MARGIN = DISPATCH_ALLOWANCE
 _NO_TIME = timedelta(0)
 _NONE_EXCLUDED: frozenset[CandidateId] = frozenset()
 _CANCELLED_STATE = 'cancelled'
@@ -42,6 +44,10 @@
 )
 
 
+def _ignore(_candidate_id: CandidateId) -> None:
+    """Do nothing with a chosen target."""
+
+
 @dataclass(frozen=True)
 class LocalReport:
     """Outcome of handing a request to this VM's own targets."""
@@ -77,8 +83,12 @@
         self,
         request: SteeredRequest,
         excluded: frozenset[CandidateId] = _NONE_EXCLUDED,
+        on_start: Callable[[CandidateId], None] = _ignore,
     ) -> LocalReport:
-        """Wait for a slot and dispatch the request, or refuse it."""
+        """Wait for a slot and dispatch the request, or refuse it.
+
+        ``on_start`` is told the target as soon as it is chosen.
+        """
         admitted = await self._admission.admit(request, excluded)
         if isinstance(admitted, ShedReason):
             self._metrics.count(
@@ -90,6 +100,7 @@
                 DispatchOutcome.REFUSED,
                 DispatchReport(DispatchOutcome.REFUSED, reason=admitted.value),
             )
+        on_start(admitted.attempt.candidate_id)
         return await self._dispatch(admitted, request)
 
     async def _dispatch(
--- a/libraries/shares/plantainstand_shares/__init__.py
+++ b/libraries/shares/plantainstand_shares/__init__.py
@@ -45,7 +45,10 @@
 from plantainstand_shares._pacing import GrowthLimit, SlotRamp, TargetPacer
 from plantainstand_shares._planner import ShareDemand, SharePlanner, plan_shares
 from plantainstand_shares._state import ShareState
-from plantainstand_shares._timing import SupportTiming
+from plantainstand_shares._timing import (
+    DISPATCH_ALLOWANCE,
+    SupportTiming,
+)
 from plantainstand_shares._view import (
     RegisterView,
     ResourceShares,
@@ -58,6 +61,7 @@
 from plantainstand_shares._zone_support import ZoneAnswer, ZoneSupport
 
 __all__ = (
+    'DISPATCH_ALLOWANCE',
     'Accepted',
     'Amount',
     'AnyCommand',
--- a/tests/daemon/test_proposer.py
+++ b/tests/daemon/test_proposer.py
@@ -43,7 +43,7 @@
             *(self.proposer.propose(command, _LONG) for command in commands),
         )
         found = [outcome.unwrap() for outcome in outcomes]
-        self.assertEqual(found, [b'done ' + command for command in commands])
+        self.assertEqual(found, [_outcome(command) for command in commands])
         self.assertLess(len(self.calls), 10)
 
     async def test_failures(self) -> None:
@@ -64,6 +64,7 @@
         )
         for called, expected in cases:
             with self.subTest(called=called):
+                self.setUp()
                 self.answer = _always(called)
                 outcome = await self.proposer.propose(b'1', _SHORT)
                 self.assertIs(outcome.unwrap_err().failure, expected)
@@ -96,10 +97,14 @@
 
     def _commit(self, commands: Sequence[bytes]) -> Called:
         results = [
-            ProposeResult(outcome=b'done ' + command) for command in commands
+            ProposeResult(outcome=_outcome(command)) for command in commands
         ]
         return Ok(ProposeReply(results=results))
 
 
+def _outcome(command: bytes) -> bytes:
+    return b' '.join((b'done', command))
+
+
 def _always(called: Called) -> Callable[[Sequence[bytes]], Called]:
     return lambda _commands: called
