--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_control_client.py
@@ -0,0 +1,175 @@
+"""Calls to the leader of the replicated log, whoever that is."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import timedelta
+from random import Random
+from typing import TypeVar
+
+from grpclib.client import Channel
+from plantainstand_core import Clock, VmId
+from plantainstand_protocol import (
+    CallProblem,
+    ChannelPool,
+    Endpoint,
+)
+from plantainstand_protocol.steering_grpc import ControlStub
+from plantainstand_protocol.steering_pb2 import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    LookUpRecordReply,
+    LookUpRecordRequest,
+    ProposeReply,
+    ProposeRequest,
+    ReportReply,
+    ReportRequest,
+)
+from result import Err, Ok, Result
+
+from plantainstand_daemon._control_problems import (
+    ControlFailure,
+    ControlProblem,
+)
+from plantainstand_daemon._proposer import Proposer
+from plantainstand_daemon._settings import VoterAddress
+from plantainstand_daemon._tasks import pause
+
+_READ_TIMEOUT = timedelta(milliseconds=1500)
+# Longer than the voter's own limit, so that its answer can arrive.
+_PROPOSE_TIMEOUT = timedelta(seconds=2.5)
+_HEARTBEAT_TIMEOUT = timedelta(milliseconds=1500)
+_READ_ATTEMPTS = 8
+_RETRY_PAUSE = timedelta(milliseconds=50)
+
+ReadReplyT = TypeVar('ReadReplyT', LookUpRecordReply, ReportReply)
+
+
+class ControlClient:
+    """Finds the leader and sends it commands; owned by one event loop."""
+
+    def __init__(
+        self,
+        voters: Sequence[VoterAddress],
+        channels: ChannelPool,
+        clock: Clock,
+        random_source: Random,
+    ) -> None:
+        """Use ``channels`` to reach ``voters``."""
+        self._endpoints = {voter.vm: voter.endpoint for voter in voters}
+        self._order = [voter.vm for voter in voters]
+        self._channels = channels
+        self._guess = self._order[0]
+        self._proposer = Proposer(self._send_commands, clock, random_source)
+
+    @property
+    def leader_guess(self) -> VmId:
+        """Voter that is asked first."""
+        return self._guess
+
+    async def propose(
+        self,
+        command: bytes,
+        timeout: timedelta,
+    ) -> Result[bytes, ControlProblem]:
+        """Commit a command and return its encoded outcome.
+
+        The command is sent again after a lost reply, so it must carry an id
+        that makes the second one harmless.
+        """
+        return await self._proposer.propose(command, timeout)
+
+    async def heartbeat(
+        self,
+        request: HeartbeatRequest,
+    ) -> Result[HeartbeatReply, CallProblem]:
+        """Send one heartbeat to the voter believed to lead."""
+        asked = self._guess
+        called: Result[
+            HeartbeatReply,
+            CallProblem,
+        ] = await self._channels.call(
+            self._endpoint(),
+            lambda channel: ControlStub(channel).Heartbeat(request),
+            _HEARTBEAT_TIMEOUT,
+        )
+        if isinstance(called, Err):
+            self._note_leader(asked, VmId(''))
+        elif called.ok_value.status == HeartbeatReply.NOT_LEADER:
+            self._note_leader(asked, VmId(called.ok_value.leader))
+        elif called.ok_value.status == HeartbeatReply.NO_QUORUM:
+            self._note_leader(asked, VmId(''))
+        return called
+
+    async def look_up_record(
+        self,
+        request_id: str,
+    ) -> Result[bytes, ControlProblem]:
+        """Read the record of a non-idempotent request at the leader."""
+        request = LookUpRecordRequest(request_id=request_id)
+        reply = await self._ask_leader(
+            lambda channel: ControlStub(channel).LookUpRecord(request),
+        )
+        if isinstance(reply, Err):
+            return reply
+        return Ok(reply.ok_value.outcome)
+
+    async def report(self) -> Result[ReportReply, ControlProblem]:
+        """Ask the leader how far each entry VM has come."""
+        return await self._ask_leader(
+            lambda channel: ControlStub(channel).Report(ReportRequest()),
+        )
+
+    async def _ask_leader(
+        self,
+        method: Callable[[Channel], Awaitable[ReadReplyT]],
+    ) -> Result[ReadReplyT, ControlProblem]:
+        message = 'no voter was asked'
+        for _ in range(_READ_ATTEMPTS):
+            asked = self._guess
+            called = await self._channels.call(
+                self._endpoint(),
+                method,
+                _READ_TIMEOUT,
+            )
+            if isinstance(called, Err):
+                message = str(called.err_value)
+                self._note_leader(asked, VmId(''))
+                continue
+            if called.ok_value.status == ReportReply.OK:
+                return Ok(called.ok_value)
+            message = f'voter {asked} does not lead'
+            self._note_leader(asked, VmId(called.ok_value.leader))
+            await pause(_RETRY_PAUSE)
+        return Err(ControlProblem(ControlFailure.NOT_PROPOSED, message))
+
+    async def _send_commands(
+        self,
+        commands: Sequence[bytes],
+    ) -> Result[ProposeReply, CallProblem]:
+        asked = self._guess
+        request = ProposeRequest(commands=commands)
+        # Heartbeats find out whether the channel is silent. A slow commit is
+        # no sign of that, and to close the channel would break other calls.
+        called: Result[ProposeReply, CallProblem] = await self._channels.call(
+            self._endpoint(),
+            lambda channel: ControlStub(channel).Propose(request),
+            _PROPOSE_TIMEOUT,
+            replace_on_timeout=False,
+        )
+        if isinstance(called, Err):
+            self._note_leader(asked, VmId(''))
+        elif called.ok_value.leader != asked:
+            self._note_leader(asked, VmId(called.ok_value.leader))
+        return called
+
+    def _endpoint(self) -> Endpoint:
+        return self._endpoints[self._guess]
+
+    def _note_leader(self, asked: VmId, named: VmId) -> None:
+        if self._guess != asked:
+            # Another task has learned of a leader in the meantime.
+            return
+        if named in self._endpoints and named != asked:
+            self._guess = named
+            return
+        place = self._order.index(asked)
+        self._guess = self._order[(place + 1) % len(self._order)]
