Refuse a run whose ports are taken

Two runs of one deployment file on a machine would find each other's processes ready and send them requests.

--- a/bench/plantainstand_bench/_load_run.py
+++ b/bench/plantainstand_bench/_load_run.py
@@ -28,6 +28,7 @@
 from plantainstand_bench._faults import AnyFault
 from plantainstand_bench._http_client import HttpClient
 from plantainstand_bench._operator import Operator
+from plantainstand_bench._ports import run_addresses, taken_addresses
 from plantainstand_bench._records import CallerRecord, RunLog
 from plantainstand_bench._run_files import RunFolder
 from plantainstand_bench._system import Commands, StartProblem, System
@@ -64,6 +65,11 @@
     folder: RunFolder,
 ) -> Result[RunLog, StartProblem]:
     """Start everything, run the load, stop everything."""
+    addresses = run_addresses(plan.deployment, plan.system_map)
+    taken = taken_addresses(addresses)
+    if taken:
+        ports = ', '.join(str(address.port) for address in taken)
+        return Err(StartProblem(f'other processes listen on ports {ports}'))
     system = System(
         plan.deployment,
         plan.system_map,
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -2,6 +2,7 @@
 
 import json
 import shlex
+import socket
 import sys
 import unittest
 from collections.abc import Mapping, Sequence
@@ -82,6 +83,16 @@
         self.assertEqual(code, 2)
         self.assertIn('--format failed', text)
 
+    def test_taken_port(self) -> None:
+        """A run does not use the processes of another run."""
+        path = self._folder / 'deployment.jsonc'
+        deployment = json.loads(path.read_text(encoding='utf-8'))
+        port = deployment['vms'][0]['http_port']
+        with socket.create_server(('127.0.0.1', port)):
+            code, text = self._run([])
+        self.assertEqual(code, 2)
+        self.assertIn(f'other processes listen on ports {port}', text)
+
     def _run(
         self,
         faults: Sequence[Mapping[str, Any]],
