Keep to the longest deadline that the register knows

Cause: a VM that sees a raised deadline in the catalogue before the register does could start work that outlives the reclaim of its shares. Change: every request is cut to the bound in the VM's register entry. The leader uses the planner that remembers settled groups, and counts a reclaim only when its outcome says so.

--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -106,8 +106,7 @@
             request_id=request.request_id,
             service=request.service,
         ):
-            traced = replace(request, traceparent=current_traceparent())
-            return await self._steer(_Progress(traced, runtime))
+            return await self._steer(_Progress(self._admit(request), runtime))
 
     async def serve_forwarded(self, request: SteeredRequest) -> Reply:
         """Serve a request that another VM forwarded, at own targets only."""
@@ -120,14 +119,27 @@
             request_id=request.request_id,
             source_vm=request.source_vm or '',
         ):
-            traced = replace(request, traceparent=current_traceparent())
-            attempt = await self._try_local(_Progress(traced, runtime))
+            progress = _Progress(self._admit(request), runtime)
+            attempt = await self._try_local(progress)
         self._metrics.count(
             'forwarded_total',
             outcome=attempt.reply.outcome.value,
         )
         return attempt.reply
 
+    def _admit(self, request: SteeredRequest) -> SteeredRequest:
+        """Continue the trace, and keep to the deadline that the log knows.
+
+        The shares of a lost VM are reclaimed after that time, so no work may
+        last longer, even if the catalogue has just raised the limit.
+        """
+        latest = self._clock.monotonic() + self._holding().longest_deadline
+        return replace(
+            request,
+            traceparent=current_traceparent(),
+            deadline=min(request.deadline, latest),
+        )
+
     async def _steer(self, progress: _Progress) -> Reply:
         is_first = True
         while True:  # noqa: WPS457
--- a/libraries/daemon/plantainstand_daemon/_holding.py
+++ b/libraries/daemon/plantainstand_daemon/_holding.py
@@ -17,7 +17,7 @@
 _NONE_KNOWN = Incarnation(0)
 
 
-@dataclass(frozen=True)
+@dataclass
 class Holding:
     """Shares and authority of one incarnation of this VM.
 
@@ -29,12 +29,17 @@
     ledger: ShareLedger
     support: SupportHolder
     zone_support: ZoneSupport
+    longest_deadline: timedelta = timedelta(0)
+    """Bound of the work this VM may start, from its register entry."""
 
     def apply(self, view: ShareView, now: timedelta) -> None:
         """Take a newer share view."""
         self.support.apply(view)
         self.zone_support.apply(view)
         self.ledger.apply(view, now)
+        record = view.member(self.key)
+        if record is not None:
+            self.longest_deadline = record.longest_deadline_ms * _MILLISECOND
 
 
 def new_incarnation(
--- a/libraries/daemon/plantainstand_daemon/_leader.py
+++ b/libraries/daemon/plantainstand_daemon/_leader.py
@@ -13,6 +13,7 @@
 from plantainstand_records import Forget
 from plantainstand_records import encode_command as encode_record_command
 from plantainstand_shares import (
+    Accepted,
     AnyCommand,
     Heartbeat,
     HeartbeatAnswer,
@@ -22,6 +23,7 @@
     Refused,
     SetLongestDeadline,
     SetShares,
+    SharePlanner,
     SupportGrantor,
     SupportTiming,
     VmIncarnation,
@@ -29,7 +31,6 @@
     decode_outcome,
     encode_command,
     follow_up,
-    plan_shares,
 )
 from result import Err
 
@@ -86,6 +87,7 @@
         self._deadline_ms: int | None = None
         # View for which the planner had nothing to do.
         self._settled_view: ControlView | None = None
+        self._planner = SharePlanner()
         state.add_listener(self._wake.set)
 
     @property
@@ -198,7 +200,7 @@
     async def _plan(self, view: ControlView) -> None:
         if view is self._settled_view:
             return
-        changes = plan_shares(build_demands(view), view.shares)
+        changes = self._planner.plan(build_demands(view), view.shares)
         if not changes:
             self._settled_view = view
         for start in range(0, len(changes), _CHANGES_PER_COMMAND):
@@ -211,7 +213,7 @@
             outcome = await self._propose(command)
             if isinstance(outcome, Refused):
                 grantor.reclaim_refused(command)
-            else:
+            elif isinstance(outcome, Accepted):
                 self._note_reclaimed(command)
 
     def _note_reclaimed(self, command: ReclaimVm) -> None:
