Hold slots of hedged requests, and stop naming silent VMs to callers

A hedge and its first attempt were at one target, the target's word 'done' was about the other attempt, and the slot was given away while this attempt's work ran. Change: a target's word frees a slot only for non-idempotent requests, of which one attempt at most is accepted; others keep it until the attempt or its deadline ends. VMs that were not heard of for the support lease are left out of the entry lists.

--- a/libraries/daemon/plantainstand_daemon/_daemon.py
+++ b/libraries/daemon/plantainstand_daemon/_daemon.py
@@ -43,6 +43,7 @@
 _log = structlog.get_logger()
 
 _REFRESH_INTERVAL = timedelta(milliseconds=20)
+_ENTRIES_INTERVAL = timedelta(milliseconds=250)
 _BRIDGE_TIMEOUT = timedelta(seconds=8)
 # Beyond the longest deadline; the stated bound of an entry VM's drain.
 _LEAVE_MARGIN = timedelta(seconds=5)
@@ -193,6 +194,10 @@
         self._tasks.start('exchange', parts.exchange.run())
         self._tasks.start('health', parts.health_poll.run())
         self._tasks.start('refresh', repeat(_REFRESH_INTERVAL, parts.refresh))
+        self._tasks.start(
+            'entries',
+            repeat(_ENTRIES_INTERVAL, parts.update_entries),
+        )
 
     def _start_web_server(self, stack: ExitStack) -> None:
         routes = build_routes(
--- a/libraries/daemon/plantainstand_daemon/_local.py
+++ b/libraries/daemon/plantainstand_daemon/_local.py
@@ -176,7 +176,7 @@
         the target still works.
         """
         state = await self._cancel_at_target(grant, request)
-        if state in _ENDED_STATES:
+        if _has_ended(state, grant):
             self._admission.release(grant, AttemptResult.FAILED)
         else:
             self._metrics.count('held_after_unknown_total')
@@ -194,7 +194,7 @@
         request: SteeredRequest,
     ) -> None:
         state = await self._cancel_at_target(grant, request)
-        if state in _ENDED_STATES:
+        if _has_ended(state, grant):
             self._admission.release(grant, AttemptResult.CANCELLED)
 
     async def _cancel_at_target(
@@ -244,5 +244,14 @@
     )
 
 
+def _has_ended(state: str, grant: Grant) -> bool:
+    """Tell whether a target's word about a request frees this attempt's slot.
+
+    Retries and hedges can bring an idempotent request to one target twice,
+    and the word may then be about the other attempt.
+    """
+    return state in _ENDED_STATES and not grant.runtime.service.idempotent
+
+
 def _is_server_error(status: int) -> bool:
     return status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/libraries/daemon/plantainstand_daemon/_steering_parts.py
+++ b/libraries/daemon/plantainstand_daemon/_steering_parts.py
@@ -1,12 +1,13 @@
 """The parts of an entry VM that steer requests, wired together."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
-from plantainstand_core import ServiceId
+from plantainstand_core import ServiceId, VmId
 from plantainstand_membership import EntrySnapshot, EntryVm
 from plantainstand_protocol import ChannelPool
+from plantainstand_shares import SupportTiming
 
 from plantainstand_daemon._activity import Activity
 from plantainstand_daemon._admission import SlotAdmission
@@ -64,6 +65,8 @@
         self._clock = instruments.clock
         self._metrics = instruments.metrics
         self._entries = EntrySnapshot(0, (), {})
+        self._heard = frozenset((settings.vm,))
+        self._lease = SupportTiming().lease
         self._table = ServiceTable(
             self._place,
             instruments.clock,
@@ -145,16 +148,34 @@
         holding.apply(view.shares, self._clock.monotonic())
         self._table.apply(view, holding.key, holding.ledger)
         self.exchange.apply(view.shares)
-        self._entries = _entry_snapshot(view)
+        self._entries = _entry_snapshot(view, self._heard)
         self._admission.apply(self._table.runtimes, holding)
         self._metrics.gauge('control_index', view.index)
 
+    async def update_entries(self) -> None:
+        """Name only VMs that were heard of within the support lease.
+
+        A lost VM stays registered until its shares are reclaimed, which can
+        take longer than callers should be sent to it.
+        """
+        heard = frozenset(self._heard_vms())
+        if heard != self._heard:
+            self._heard = heard
+            self._entries = _entry_snapshot(self._view, heard)
+
     async def refresh(self) -> None:
         """Let waiting requests start or end as time passes."""
         if self._admission.waiting:
             self._admission.refresh()
         self._metrics.gauge('in_flight', self.activity.in_flight)
 
+    def _heard_vms(self) -> Iterator[VmId]:
+        yield self._place.vm
+        for vm in self._view.shares.register.newest:
+            age = self.exchange.age(vm)
+            if age is not None and age < self._lease:
+                yield vm
+
     def _build_engine(
         self,
         resources: Resources,
@@ -184,7 +205,10 @@
         )
 
 
-def _entry_snapshot(view: ControlView) -> EntrySnapshot:
+def _entry_snapshot(
+    view: ControlView,
+    heard: frozenset[VmId],
+) -> EntrySnapshot:
     regions = {
         zone.availability_zone_id: zone.region
         for zone in view.catalogue.availability_zones.values()
@@ -198,6 +222,6 @@
             record.region,
         )
         for record in view.shares.register.newest.values()
-        if record.may_get_shares
+        if record.may_get_shares and record.vm in heard
     )
     return EntrySnapshot(view.index, vms, regions)
