--- a/tests/steering/test_admission.py
+++ b/tests/steering/test_admission.py
@@ -123,6 +123,17 @@
         harness.release(first)
         self.assertEqual(harness.log[-1], ('r3', 'started'))
 
+    def test_no_overtaking(self) -> None:
+        """A new request takes the slot that was freed for a waiting one."""
+        harness = _Harness()
+        first = harness.submit()
+        harness.submit()
+        harness.running.pop(first)
+        harness.submit()
+        self.assertEqual(harness.log[1:], [])
+        harness.note(harness.scheduler.capacity_freed())
+        self.assertEqual(harness.log[1:], [('r2', 'started')])
+
     def test_refusals(self) -> None:
         """A refusal later than possible, or of the wrong request."""
         cases = (
@@ -165,6 +176,22 @@
         self.assertEqual(harness.log[1:], [('r2', 'deadline passed')])
         self.assertIsNone(harness.scheduler.next_expiry())
 
+    def test_replaced_queue(self) -> None:
+        """Requests that vanish when a service's limits change."""
+        harness = _Harness()
+        first = harness.submit()
+        for traffic_class in (_BACKGROUND, _NORMAL, _CRITICAL):
+            harness.submit(traffic_class)
+        queues = {**harness.queues, _ORDER: AdmissionQueue(2, _SECOND)}
+        queues[_ORDER].resize(1)
+        harness.note(harness.scheduler.replace_queues(queues))
+        self.assertEqual(harness.log[1:], [('r2', 'queue full')])
+        harness.release(first)
+        harness.release(RequestId('r4'))
+        self.assertEqual(
+            harness.log[2:], [('r4', 'started'), ('r3', 'started')]
+        )
+
     def test_removed_service(self) -> None:
         """Requests that vanish with the service they wait for."""
         harness = _Harness()
@@ -203,8 +230,9 @@
         harness = _Harness(length=20, service_time=_SECOND / 100)
         for service in services:
             harness.submit(service=service)
-        while harness.running:
+        for _ in services:
             harness.release(next(iter(harness.running)))
+        self.assertEqual(set(harness.ends.values()) - {1}, set())
         started = [name for name, _ in harness.log]
         for service in harness.slots:
             numbers = [
