Do not give up a VM that has just registered

A heartbeat that came before the leader's next step could also meet a view without the new registration. Ruled out: the reclaim rules; each reclaim in the log was due. Change: support counts from the moment the leader first sees a registration, and the leader applies the newest view before it answers. A test fails without it. The follow stream no longer leaves a waiting read behind.

--- a/libraries/daemon/plantainstand_daemon/_control_service.py
+++ b/libraries/daemon/plantainstand_daemon/_control_service.py
@@ -7,6 +7,7 @@
 from grpclib.server import Stream
 from plantainstand_consensus import (
     CommittedEntry,
+    EntriesItem,
     LogReplica,
     NotLeader,
     Overloaded,
@@ -268,29 +269,44 @@
         self,
         subscription: Subscription,
     ) -> AsyncIterator[FollowItem]:
-        while True:  # noqa: WPS457
-            waiting = asyncio.ensure_future(anext(subscription))
-            while not waiting.done():
+        waiting = asyncio.ensure_future(_next_item(subscription))
+        try:
+            while True:  # noqa: WPS457
                 await asyncio.wait(
                     (waiting,),
                     timeout=_KEEP_ALIVE.total_seconds(),
                 )
                 if not waiting.done():
                     yield self._keep_alive()
-            try:
+                    continue
                 item = waiting.result()
-            except StopAsyncIteration:
-                return
-            if isinstance(item, SnapshotItem):
-                yield self._snapshot_item()
-            else:
-                yield _entries_item(item.entries, item.through)
+                if item is None:
+                    return
+                yield self._follow_item(item)
+                waiting = asyncio.ensure_future(_next_item(subscription))
+        finally:
+            waiting.cancel()
+
+    def _follow_item(self, item: SnapshotItem | EntriesItem) -> FollowItem:
+        if isinstance(item, SnapshotItem):
+            return self._snapshot_item()
+        return _entries_item(item.entries, item.through)
 
     def _keep_alive(self) -> FollowItem:
         index = self._replica.status().commit_index
         return FollowItem(keep_alive=FollowKeepAlive(commit_index=index))
 
 
+async def _next_item(
+    subscription: Subscription,
+) -> SnapshotItem | EntriesItem | None:
+    """Return the next item, or ``None`` when the replica has stopped."""
+    try:
+        return await anext(subscription)
+    except StopAsyncIteration:
+        return None
+
+
 def encode_vm(key: VmIncarnation) -> WireVm:
     """Build the message form of an incarnation."""
     return WireVm(vm=key.vm, incarnation=key.incarnation)
--- a/libraries/daemon/plantainstand_daemon/_leader.py
+++ b/libraries/daemon/plantainstand_daemon/_leader.py
@@ -123,6 +123,8 @@
         if grantor is None or not self._replica.status().has_quorum_contact:
             return HeartbeatAnswer(HeartbeatStatus.NO_QUORUM)
         now = self._clock.monotonic()
+        # A VM that has just registered must not be told that it is unknown.
+        grantor.apply(self._state.view().shares)
         grantor.note_quorum(now)
         answer = grantor.answer(heartbeat)
         self._progress[heartbeat.sender] = VmProgress(
--- a/libraries/shares/plantainstand_shares/_grantor.py
+++ b/libraries/shares/plantainstand_shares/_grantor.py
@@ -65,6 +65,10 @@
         self._quorum_sent_at = NEVER
         self._view: ShareView | None = None
         self._answered_at: dict[VmIncarnation, timedelta] = {}
+        # When each incarnation was first seen in the register. One that has
+        # just registered has not lapsed, although no heartbeat came yet;
+        # otherwise its zone peers would be told to refuse it at once.
+        self._seen_at: dict[VmIncarnation, timedelta] = {}
         self._applied: dict[VmIncarnation, LogIndex] = {}
         self._proposed: dict[VmIncarnation, set[LogIndex]] = {}
         self._exclusions = Exclusions(timing)
@@ -88,11 +92,11 @@
             return
         self._view = view
         self._lapsed_in = {}
-        self._exclusions.apply(view.register, self._clock.monotonic())
-        for known in (self._answered_at, self._applied, self._proposed):
-            for key in tuple(known):
-                if key not in view.register.records:
-                    known.pop(key)
+        now = self._clock.monotonic()
+        self._exclusions.apply(view.register, now)
+        self._forget_ended(view)
+        for key in view.register.records:
+            self._seen_at.setdefault(key, now)
 
     def note_terminated(self, vms: Collection[VmId]) -> None:
         """Note the VMs that the platform's list calls terminated."""
@@ -191,7 +195,22 @@
 
     def _last_support(self, key: VmIncarnation) -> timedelta:
         earlier_leader = self._started_at + self._timing.tenure * DRIFT
-        return max(earlier_leader, self._answered_at.get(key, NEVER))
+        return max(
+            earlier_leader,
+            self._seen_at.get(key, NEVER),
+            self._answered_at.get(key, NEVER),
+        )
+
+    def _forget_ended(self, view: ShareView) -> None:
+        for known in (
+            self._answered_at,
+            self._seen_at,
+            self._applied,
+            self._proposed,
+        ):
+            for key in tuple(known):
+                if key not in view.register.records:
+                    known.pop(key)
 
     def _lapsed_peers(
         self,
--- a/tests/shares/test_authority.py
+++ b/tests/shares/test_authority.py
@@ -218,6 +218,26 @@
                 answer = grantor.answer(Heartbeat(key('a'), LogIndex(1)))
                 self.assertEqual(answer.status, HeartbeatStatus(expected))
 
+    def test_new_member_is_not_revoked(self) -> None:
+        """A VM that has just registered is not given up before it is heard.
+
+        It would otherwise be refused by its peers, register again, and never
+        come to use a share.
+        """
+        clock = ManualClock()
+        grantor = SupportGrantor(clock)
+        log = Log(*_registered('a'))
+        grantor.apply(log.state.view())
+        clock.advance(100 * _SECOND)
+        log.apply(register('b'))
+        grantor.apply(log.state.view())
+        for seconds, expected in ((0, frozenset()), (3.1, {key('b')})):
+            with self.subTest(seconds):
+                clock.advance(seconds * _SECOND)
+                grantor.note_quorum(clock.monotonic())
+                answer = grantor.answer(Heartbeat(key('a'), LogIndex(1)))
+                self.assertEqual(answer.revoke, expected)
+
     def test_no_support_after_the_decision(self) -> None:
         """A VM that returns while its reclaim commits stays without support."""
         clock = ManualClock()
