--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,9 @@
 	$(BIN)/ruff format .
 
 run: setup
-	$(BIN)/plantainstand-load --deployment bench/deployments/trefila.jsonc --seed 1 --out out/run
+	$(BIN)/plantainstand-load --deployment bench/deployments/trefila-drains.jsonc \
+	  --faults bench/deployments/trefila-drains-faults.jsonc --load-factor 0.6 --seed 1 --out out/run \
+	  --daemon $(BIN)/plantainstandd --control $(BIN)/plantainstandctl
 
 bench: setup
 	$(BIN)/python -m plantainstand_bench
