Test the engine, and keep hedges out of the queue of the first attempt

Cause: the steering of one request had no tests of its own. Found: a first attempt that still waits for a slot has excluded no target, so a hedge could join the same queue and be given the same target later.

--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -157,9 +157,14 @@
             if not self._may_go_on(progress, attempt):
                 return progress.conclude()
 
-    def _rank(self, progress: _Progress) -> Sequence[RankedCandidate]:
+    def _rank(
+        self,
+        progress: _Progress,
+        *,
+        only_vms: bool = False,
+    ) -> Sequence[RankedCandidate]:
         excluded = set(progress.excluded)
-        if progress.local_refused:
+        if only_vms or progress.local_refused:
             excluded.update(progress.runtime.targets)
         return rank_candidates(
             progress.runtime.view,
@@ -316,12 +321,16 @@
         ranked: RankedCandidate,
     ) -> Sequence[asyncio.Task[_Attempt]]:
         runtime = progress.runtime
+        # An attempt that waits for a slot has excluded no target yet; a hedge
+        # in the same queue could be given the same target.
+        is_local = ranked.candidate.kind is CandidateKind.TARGET
+        is_waiting = is_local and not progress.excluded
         facts = HedgeFacts(
             idempotent=runtime.service.idempotent,
             time_left=progress.request.deadline - self._clock.monotonic(),
             budget_available=runtime.budget.available_for_hedges,
             tried=(ranked.candidate, *progress.tried),
-            ranked=self._rank(progress),
+            ranked=self._rank(progress, only_vms=is_waiting),
         )
         choice = runtime.hedge.choose(facts)
         if choice is None or not runtime.budget.try_spend_on_hedge():
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from random import Random
 
-from plantainstand_core import LogIndex, ManualClock, RequestId
+from plantainstand_core import Clock, LogIndex, ManualClock, RequestId
 from plantainstand_daemon._control_problems import (
     ControlFailure,
     ControlProblem,
@@ -16,7 +16,7 @@
 from result import Err, Ok, Result
 
 
-def make_instruments(clock: ManualClock | None = None) -> Instruments:
+def make_instruments(clock: Clock | None = None) -> Instruments:
     """Build instruments with a clock that stands still and a fixed seed."""
     return Instruments(
         clock or ManualClock(),
--- /dev/null
+++ b/tests/daemon/test_hedging.py
@@ -0,0 +1,181 @@
+"""A hedge saves time without doing the same work at the same place."""
+
+import unittest
+from datetime import timedelta
+from typing import NamedTuple
+
+from plantainstand_core import RequestOutcome
+
+from tests.consensus.simulated_loop import run_simulated
+from tests.daemon.places import QUEUE, Setup, Take, steer
+
+_ANSWERED = RequestOutcome.ANSWERED
+_NOT_RUN = RequestOutcome.NOT_RUN
+_UNKNOWN = RequestOutcome.UNKNOWN
+_ANSWER = Take(_ANSWERED)
+_REFUSAL = Take(_NOT_RUN)
+_LOST = Take(_UNKNOWN)
+_SILENCE = Take(None)
+_LATE_ANSWER = Take(_ANSWERED, timedelta(milliseconds=100))
+
+_TARGET = 'target/t-1'
+_OTHER_TARGET = 'target/t-2'
+_PEER = 'vm/near-1'
+_PEER_OF_SAME_ZONE = 'vm/near-2'
+_FAR = 'vm/far-1'
+
+
+class _HedgeCase(NamedTuple):
+    name: str
+    setup: Setup
+    calls: tuple[str, ...]
+    outcome: RequestOutcome
+    cancelled: tuple[str, ...] = ()
+
+
+def _hedged(
+    script: dict[str, Take],
+    *,
+    idempotent: bool = True,
+    budget: int = 50,
+) -> Setup:
+    return Setup(script, idempotent=idempotent, hedge=True, budget=budget)
+
+
+_HEDGES = (
+    _HedgeCase(
+        'the first attempt answers in time',
+        _hedged({_TARGET: _ANSWER, _PEER: _ANSWER}),
+        (_TARGET,),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'the hedge answers, the silent attempt is cancelled',
+        _hedged({_TARGET: _SILENCE, _PEER: _ANSWER}),
+        (_TARGET, _PEER),
+        _ANSWERED,
+        (_TARGET,),
+    ),
+    _HedgeCase(
+        'the first attempt answers late, the hedge is cancelled',
+        _hedged({_TARGET: _LATE_ANSWER, _PEER: _SILENCE}),
+        (_TARGET, _PEER),
+        _ANSWERED,
+        (_PEER,),
+    ),
+    _HedgeCase(
+        'the hedge is refused, the first attempt answers',
+        _hedged({_TARGET: _LATE_ANSWER, _PEER: _REFUSAL}),
+        (_TARGET, _PEER),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'the hedge goes to another target, not to the same one',
+        _hedged({_TARGET: _SILENCE, _OTHER_TARGET: _ANSWER}),
+        (_TARGET, _OTHER_TARGET),
+        _ANSWERED,
+        (_TARGET,),
+    ),
+    _HedgeCase(
+        'no second attempt at the only target',
+        _hedged({_TARGET: _LATE_ANSWER}),
+        (_TARGET,),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'VMs of one zone can use the same target',
+        _hedged({_PEER: _LATE_ANSWER, _PEER_OF_SAME_ZONE: _ANSWER}),
+        (_PEER,),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'a VM of another zone cannot',
+        _hedged({_PEER: _SILENCE, _PEER_OF_SAME_ZONE: _ANSWER, _FAR: _ANSWER}),
+        (_PEER, _FAR),
+        _ANSWERED,
+        (_PEER,),
+    ),
+    _HedgeCase(
+        'the own queue is not joined twice',
+        _hedged(
+            {
+                QUEUE: Take(_ANSWERED, timedelta(milliseconds=100)),
+                _TARGET: _ANSWER,
+                _OTHER_TARGET: _ANSWER,
+            },
+        ),
+        (QUEUE, _TARGET),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'an attempt in the own queue is hedged at another VM',
+        _hedged(
+            {
+                QUEUE: _SILENCE,
+                _TARGET: _ANSWER,
+                _OTHER_TARGET: _ANSWER,
+                _PEER: _ANSWER,
+            },
+        ),
+        (QUEUE, _PEER),
+        _ANSWERED,
+        (QUEUE,),
+    ),
+    _HedgeCase(
+        'not idempotent',
+        _hedged({_TARGET: _LATE_ANSWER, _PEER: _ANSWER}, idempotent=False),
+        (_TARGET,),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'the rest of the budget is kept for retries',
+        _hedged({_TARGET: _LATE_ANSWER, _PEER: _ANSWER}, budget=20),
+        (_TARGET,),
+        _ANSWERED,
+    ),
+    _HedgeCase(
+        'hedge refused, first attempt unknown, nothing else to try',
+        _hedged(
+            {
+                _TARGET: Take(_UNKNOWN, timedelta(milliseconds=100)),
+                _PEER: _REFUSAL,
+            },
+        ),
+        (_TARGET, _PEER),
+        _UNKNOWN,
+    ),
+    _HedgeCase(
+        'hedge unknown, first attempt refused, nothing else to try',
+        _hedged(
+            {
+                _TARGET: Take(_NOT_RUN, timedelta(milliseconds=100)),
+                _PEER: _LOST,
+            },
+        ),
+        (_TARGET, _PEER),
+        _UNKNOWN,
+    ),
+)
+
+
+class HedgeTest(unittest.TestCase):
+    """Guards against hedges that double load without any use."""
+
+    def test_cases(self) -> None:
+        """A late look-up is tried once more, at a target of its own."""
+        for case in _HEDGES:
+            with self.subTest(case.name):
+                places, outcome = run_simulated(steer(case.setup))
+                self.assertEqual(tuple(places.calls), case.calls)
+                self.assertIs(outcome, case.outcome)
+                self.assertEqual(tuple(places.cancelled), case.cancelled)
+
+    def test_delay(self) -> None:
+        """The hedge starts at the percentile of the observed latency."""
+        just_in_time = Take(_ANSWERED, timedelta(milliseconds=9))
+        just_late = Take(_ANSWERED, timedelta(milliseconds=11))
+        for first, calls in ((just_in_time, 1), (just_late, 2)):
+            with self.subTest(first=first.after):
+                setup = _hedged({_TARGET: first, _PEER: _SILENCE})
+                places, _outcome = run_simulated(steer(setup))
+                self.assertEqual(len(places.calls), calls)
