Test local dispatch: held slots, waiting requests and lost authority

Cause: no test showed that slots of lost answers stay taken, or that a cancelled request hands its slot on. Found: no fault in the local dispatcher or the slot admission.

--- /dev/null
+++ b/tests/daemon/deployment.py
@@ -0,0 +1,141 @@
+"""A small deployment: catalogue, registered VMs and a settled share table."""
+
+from collections.abc import Iterable
+
+import msgspec
+import plantainstand_catalogue as catalogue
+from plantainstand_core import (
+    AvailabilityZoneId,
+    Incarnation,
+    OperationId,
+    RegionId,
+    Revision,
+    VmId,
+)
+from plantainstand_daemon._control_state import (
+    CommandKind,
+    ControlView,
+    wrap_command,
+)
+from plantainstand_daemon._demands import build_demands
+from plantainstand_shares import (
+    AnyCommand,
+    ConfirmRelease,
+    RegisterVm,
+    SetLongestDeadline,
+    SetShares,
+    VmIncarnation,
+    encode_command,
+    plan_shares,
+)
+
+from tests.daemon.fakes import FakeLog
+
+OWN = VmIncarnation(VmId('bajio-a-1'), Incarnation(1))
+ZONES = (
+    ('bajio-a', 'bajio'),
+    ('bajio-b', 'bajio'),
+    ('norte-a', 'norte'),
+)
+"""Zones of the example catalogue and their regions."""
+
+_MAX_STEPS = 10
+
+
+def slots(target: catalogue.Target, count: int) -> catalogue.Target:
+    """Return a target with another number of slots."""
+    limits = msgspec.structs.replace(target.limits, slots=count)
+    return msgspec.structs.replace(target, limits=limits)
+
+
+class Deployment:
+    """Control state that is filled through its log."""
+
+    def __init__(
+        self,
+        entries: Iterable[catalogue.AnyEntry],
+        vms: Iterable[str],
+    ) -> None:
+        """Name VMs after their zone, as in ``bajio-a-1``."""
+        self.log = FakeLog()
+        for entry in entries:
+            self.put(entry)
+        self.share(SetLongestDeadline(2000))
+        for vm in vms:
+            self.register(vm)
+        self.settle()
+
+    @property
+    def view(self) -> ControlView:
+        """Current catalogue and share table."""
+        return self.log.state.view()
+
+    def put(self, entry: catalogue.AnyEntry) -> None:
+        """Add or change an entry."""
+        known = self.view.catalogue.entry_revision(entry.entry_id)
+        self.change(
+            catalogue.PutEntry(self._operation(), entry, Revision(known)),
+        )
+
+    def drain(self, kind: catalogue.DrainSubjectKind, name: str) -> None:
+        """Announce a drain."""
+        self.change(catalogue.AnnounceDrain(self._operation(), kind, name))
+
+    def withdraw(self, kind: catalogue.DrainSubjectKind, name: str) -> None:
+        """Withdraw a drain."""
+        self.change(catalogue.WithdrawDrain(self._operation(), kind, name))
+
+    def register(self, vm: str, incarnation: int = 1) -> None:
+        """Register a process of a VM."""
+        zone = vm.rpartition('-')[0]
+        self.share(
+            RegisterVm(
+                VmId(vm),
+                Incarnation(incarnation),
+                AvailabilityZoneId(zone),
+                RegionId(dict(ZONES)[zone]),
+                '127.0.0.1',
+                http_port=1,
+                rpc_port=2,
+            ),
+        )
+
+    def settle(self) -> None:
+        """Plan and confirm shares until nothing is left to change."""
+        for steps_left in reversed(range(_MAX_STEPS)):
+            changes = plan_shares(build_demands(self.view), self.view.shares)
+            if not changes:
+                return
+            if not steps_left:
+                raise AssertionError('the share table does not settle')
+            self.share(SetShares(tuple(changes)))
+            self._confirm_releases()
+
+    def share(self, command: AnyCommand) -> None:
+        """Commit a command about VMs and shares."""
+        encoded = encode_command(command)
+        self.log.commit(wrap_command(CommandKind.SHARES, encoded))
+
+    def change(self, command: catalogue.CatalogueCommand) -> None:
+        """Commit a change of the catalogue, which must be accepted."""
+        payload = catalogue.encode_command(command)
+        outcome = catalogue.decode_outcome(
+            self.log.commit(wrap_command(CommandKind.CATALOGUE, payload)),
+        ).unwrap()
+        if not isinstance(outcome, catalogue.ChangeAccepted):
+            raise AssertionError(outcome)
+
+    def _operation(self) -> OperationId:
+        return OperationId(f'operation-{self.log.state.index}')
+
+    def _confirm_releases(self) -> None:
+        for shares in self.view.shares.by_vm.values():
+            for share in shares.values():
+                if share.held > share.share:
+                    self.share(
+                        ConfirmRelease(
+                            *share.key,
+                            share.resource,
+                            share.version,
+                        ),
+                    )
