Answer expired ids with 410, and claim no "not run" at a closing VM

Cause: an id older than its record was answered with 400 instead of 410, and commands after the admission carried the caller's spelling of the id. A closing VM answered "not run" to non-idempotent requests without asking the log, although the same id may have been admitted at another VM. Found: the table of refused ids failed for serve, look-up and cancel; the closing VM was seen while its code was read for the caller routes. Change: the fault of the id decides between 410 and 400, the checked id is used from then on, and a closing VM says "unknown" of a recorded request.

--- a/libraries/daemon/plantainstand_daemon/_caller_bridge.py
+++ b/libraries/daemon/plantainstand_daemon/_caller_bridge.py
@@ -95,7 +95,10 @@
 
     async def _serve(self, request: SteeredRequest) -> Refusable:
         if not self._activity.accepts:
-            return Ok(not_run('this VM is leaving; ask /v1/entries'))
+            # A recorded request may run elsewhere under the same id.
+            is_idempotent = self._is_idempotent(request.service)
+            refuse = not_run if is_idempotent else unknown
+            return Ok(refuse('this VM is leaving; ask /v1/entries'))
         started_at = self._clock.monotonic()
         with self._activity.track():
             if self._is_idempotent(request.service):
--- a/libraries/daemon/plantainstand_daemon/_recorded.py
+++ b/libraries/daemon/plantainstand_daemon/_recorded.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
 from itertools import count
@@ -23,6 +24,8 @@
     NotRun,
     RecordCommand,
     RecordOutcome,
+    RequestIdFault,
+    RequestIdProblem,
     check_request_id,
     content_fingerprint,
     decode_outcome,
@@ -87,10 +90,11 @@
         """Run a request, unless it was decided before."""
         checked = check_request_id(request.request_id, self._clock.wall())
         if isinstance(checked, Err):
-            return _bad_request(str(checked.err_value))
+            return _refused_id(checked.err_value)
+        request = replace(request, request_id=checked.ok_value)
         admission = self._new_admission()
         command = Admit(
-            checked.ok_value,
+            request.request_id,
             content_fingerprint(
                 request.method,
                 f'/{request.service}{request.path}',
@@ -111,7 +115,7 @@
         """Return the recorded outcome of a request."""
         checked = check_request_id(request_id, self._clock.wall())
         if isinstance(checked, Err):
-            return _bad_request(str(checked.err_value))
+            return _refused_id(checked.err_value)
         found = await self._read(checked.ok_value)
         if isinstance(found, Err):
             return Ok(unknown(found.err_value.message))
@@ -121,7 +125,7 @@
         """Decide that a request does not run, unless it was admitted."""
         checked = check_request_id(request_id, self._clock.wall())
         if isinstance(checked, Err):
-            return _bad_request(str(checked.err_value))
+            return _refused_id(checked.err_value)
         command = Abandon(
             checked.ok_value,
             self._new_admission(),
@@ -236,6 +240,12 @@
     return Err(RequestRefused(HTTPStatus.BAD_REQUEST, message))
 
 
+def _refused_id(problem: RequestIdProblem) -> Err[RequestRefused]:
+    is_expired = problem.fault is RequestIdFault.EXPIRED
+    status = HTTPStatus.GONE if is_expired else HTTPStatus.BAD_REQUEST
+    return Err(RequestRefused(status, str(problem)))
+
+
 def _describe(outcome: RecordOutcome) -> Refusable:
     match outcome:
         case Expired():
--- a/tests/daemon/test_recorded.py
+++ b/tests/daemon/test_recorded.py
@@ -30,6 +30,9 @@
 
 # UUID version 7 with the time of the manual clock, 2026-01-01.
 _ID = '019b76da-a800-7000-8000-000000000001'
+# Its time is 24 h and a millisecond earlier.
+_EXPIRED_ID = '019b71b4-4bff-7000-8000-000000000001'
+_FUTURE_ID = '019b76e4-a800-7000-8000-000000000001'
 _ANSWER = Reply(RequestOutcome.ANSWERED, Answer(201, (), b'order 7'))
 _ANSWERED = RequestOutcome.ANSWERED
 _NOT_RUN = RequestOutcome.NOT_RUN
@@ -41,6 +44,7 @@
 
     def __init__(self, name: str, log: FakeLog, clock: ManualClock) -> None:
         self.executions = 0
+        self.request_id = _ID
         self.reply = _ANSWER
         self._clock = clock
         self._requests = RecordedRequests(
@@ -57,7 +61,7 @@
     async def serve(self, body: bytes = b'bronze') -> Refusable:
         """Serve one request with the test's id."""
         request = SteeredRequest(
-            RequestId(_ID),
+            RequestId(self.request_id),
             ServiceId('order'),
             'POST',
             '/orders',
@@ -72,11 +76,11 @@
 
     def cancel(self) -> Refusable:
         """Cancel the test's id."""
-        return asyncio.run(self._requests.cancel(_ID))
+        return asyncio.run(self._requests.cancel(self.request_id))
 
     def look_up(self) -> Refusable:
         """Read the outcome of the test's id."""
-        return asyncio.run(self._requests.look_up(_ID))
+        return asyncio.run(self._requests.look_up(self.request_id))
 
     async def _steer(self, request: SteeredRequest) -> Reply:
         await asyncio.sleep(0)
@@ -170,6 +174,38 @@
         self.first.send()
         self._expect(self.second.look_up(), _ANSWERED)
 
+    def test_refused_ids(self) -> None:
+        """An id that is too old is told apart from one that is malformed."""
+        cases = (
+            (_EXPIRED_ID, HTTPStatus.GONE),
+            (_FUTURE_ID, HTTPStatus.BAD_REQUEST),
+            ('17', HTTPStatus.BAD_REQUEST),
+            (f'{{{_ID}}}', HTTPStatus.BAD_REQUEST),
+        )
+        for request_id, status in cases:
+            self.first.request_id = request_id
+            for action in (
+                self.first.send,
+                self.first.look_up,
+                self.first.cancel,
+            ):
+                with self.subTest(request_id, action=action.__name__):
+                    self.assertEqual(action().unwrap_err().status, status)
+        self._expect_executions(0, 0)
+
+    def test_other_spelling(self) -> None:
+        """Letter case makes no second request, and its outcome is kept."""
+        replies = (_ANSWER, not_run('no slot'))
+        for number, reply in enumerate(replies):
+            request_id = f'{_ID[:-3]}{number}cd'
+            self.first.request_id = request_id.upper()
+            self.second.request_id = request_id
+            self.first.reply = reply
+            self._expect(self.first.send(), reply.outcome)
+            self._expect(self.second.look_up(), reply.outcome)
+            self._expect(self.second.send(), reply.outcome)
+        self._expect_executions(1, 0)
+
     def _expect(self, served: Refusable, outcome: RequestOutcome) -> None:
         self.assertEqual(served.unwrap().outcome, outcome)
 
