--- /dev/null
+++ b/tests/daemon/test_demands.py
@@ -0,0 +1,187 @@
+"""Capacity is split so that no limit is exceeded and none is without owner."""
+
+import unittest
+from collections.abc import Mapping
+
+import msgspec
+import plantainstand_catalogue as catalogue
+from plantainstand_catalogue import DrainSubjectKind
+from plantainstand_core import ResourceId, VmId
+from plantainstand_daemon._demands import build_demands
+from plantainstand_shares import DepartVm, MarkLeaving, ShareDemand, ShareUnit
+
+from tests.catalogue import examples
+from tests.daemon.deployment import OWN, Deployment, slots
+
+_VMS = ('bajio-a-1', 'bajio-a-2', 'bajio-b-1', 'norte-a-1')
+
+
+def _region(in_flight: int) -> catalogue.Region:
+    limits = catalogue.InFlightLimits(in_flight)
+    return msgspec.structs.replace(examples.region('bajio'), limits=limits)
+
+
+def _zone(name: str, in_flight: int) -> catalogue.AvailabilityZone:
+    limits = catalogue.InFlightLimits(in_flight)
+    zone = examples.zone(name, 'bajio')
+    return msgspec.structs.replace(zone, limits=limits)
+
+
+def _target(zone: str, count: int, number: int) -> catalogue.Target:
+    target = examples.target(f't-{number}', zone, 22000 + number)
+    return slots(target, count)
+
+
+# Limit of the region, slots in its zones a and b, limits of the zones, and
+# the parts of the two zones.
+_REGION_CASES = (
+    ('even', 100, (8, 8), (99, 99), (50, 50)),
+    ('by slots', 100, (9, 3), (99, 99), (75, 25)),
+    ('rounded down', 10, (1, 2), (99, 99), (3, 6)),
+    ('limit below the slots', 3, (8, 4), (99, 99), (2, 1)),
+    ('no room for the smaller zone', 1, (8, 4), (99, 99), (0, 0)),
+    ('zone limits below the parts', 100, (9, 3), (40, 20), (40, 20)),
+    ('one zone without slots', 90, (8, 0), (99, 99), (90, 0)),
+    ('no slots at all', 100, (0, 0), (99, 99), (0, 0)),
+    ('region closed', 0, (8, 8), (99, 99), (0, 0)),
+)
+
+
+def _demands(deployment: Deployment) -> Mapping[ResourceId, ShareDemand]:
+    return {
+        demand.resource: demand for demand in build_demands(deployment.view)
+    }
+
+
+def _find(deployment: Deployment, resource: str) -> ShareDemand:
+    return _demands(deployment)[ResourceId(resource)]
+
+
+def _owners(demand: ShareDemand) -> tuple[VmId, ...]:
+    return next((tier for tier in demand.tiers if tier), ())
+
+
+class CapacityTest(unittest.TestCase):
+    """Guards against parts of a limit that add up to more than the limit."""
+
+    def test_region_parts(self) -> None:
+        """A region's limit is divided among its zones by their slots."""
+        for name, limit, counts, zone_limits, expected in _REGION_CASES:
+            with self.subTest(name):
+                entries = (
+                    *examples.ENTRIES[:7],
+                    _region(limit),
+                    _zone('bajio-a', zone_limits[0]),
+                    _zone('bajio-b', zone_limits[1]),
+                    _target('bajio-a', counts[0], 1),
+                    _target('bajio-b', counts[1], 2),
+                )
+                deployment = Deployment(entries, _VMS)
+                parts = tuple(
+                    _find(deployment, f'zone/{zone}').capacity
+                    for zone in ('bajio-a', 'bajio-b')
+                )
+                self.assertEqual(parts, expected)
+                self.assertLessEqual(sum(parts), limit)
+
+    def test_link_halves(self) -> None:
+        """Requests and responses of a link add up to less than its rate."""
+        deployment = Deployment(examples.ENTRIES, _VMS)
+        halves = [
+            _find(deployment, f'link/bajio/norte/{half}')
+            for half in ('requests', 'responses')
+        ]
+        for demand in halves:
+            self.assertIs(demand.unit, ShareUnit.RATE)
+            self.assertAlmostEqual(demand.capacity, 450000)
+
+    def test_shift_cap(self) -> None:
+        """Every service has a cap of its own on each link."""
+        entries = (*examples.ENTRIES, examples.service('order'))
+        deployment = Deployment(entries, _VMS)
+        for service in ('catalogue', 'order'):
+            demand = _find(deployment, f'shift/{service}/bajio/norte')
+            self.assertEqual(demand.capacity, 10)
+            self.assertIs(demand.unit, ShareUnit.RATE)
+
+    def test_drains(self) -> None:
+        """A target has no capacity while any drain covers it."""
+        drains = (
+            (DrainSubjectKind.TARGET, 'catalogue-1', 0),
+            (DrainSubjectKind.AVAILABILITY_ZONE, 'bajio-a', 0),
+            (DrainSubjectKind.REGION, 'bajio', 0),
+            (DrainSubjectKind.TARGET, 'catalogue-2', 4),
+            (DrainSubjectKind.REGION, 'norte', 4),
+            (DrainSubjectKind.VM, 'bajio-a-1', 4),
+        )
+        deployment = Deployment(examples.ENTRIES, _VMS)
+        for kind, name, expected in drains:
+            with self.subTest(kind=kind, name=name):
+                deployment.drain(kind, name)
+                found = _find(deployment, 'target/catalogue-1')
+                self.assertEqual(found.capacity, expected)
+                deployment.withdraw(kind, name)
+                found = _find(deployment, 'target/catalogue-1')
+                self.assertEqual(found.capacity, 4)
+
+    def test_shares_keep_to_the_limits(self) -> None:
+        """The settled table holds no more than any demand's capacity."""
+        deployment = Deployment(examples.ENTRIES, _VMS)
+        demands = _demands(deployment)
+        resources = deployment.view.shares.resources
+        for resource, demand in demands.items():
+            with self.subTest(resource):
+                shares = resources.get(resource)
+                held = shares.held if shares else 0
+                self.assertLessEqual(held, demand.capacity)
+                # Rates are split in steps, which leaves a small rest.
+                self.assertGreaterEqual(held, 0.99 * demand.capacity)
+
+
+# Registered VMs and the owners of what lies in zone bajio-a.
+_TIER_CASES = (
+    ('own zone', _VMS, ('bajio-a-1', 'bajio-a-2')),
+    ('one VM in the zone', ('bajio-a-2', 'bajio-b-1'), ('bajio-a-2',)),
+    ('same region', ('bajio-b-1', 'norte-a-1'), ('bajio-b-1',)),
+    ('anywhere', ('norte-a-1',), ('norte-a-1',)),
+    ('nobody', (), ()),
+)
+
+
+class OwnerTest(unittest.TestCase):
+    """Guards against targets that nobody can use, or that others take."""
+
+    def test_tiers(self) -> None:
+        """A zone without a VM is served by its region, then by any VM."""
+        for name, vms, expected in _TIER_CASES:
+            with self.subTest(name):
+                deployment = Deployment(examples.ENTRIES, vms)
+                for resource in ('target/catalogue-1', 'zone/bajio-a'):
+                    owners = _owners(_find(deployment, resource))
+                    self.assertEqual(owners, expected)
+
+    def test_link_owners(self) -> None:
+        """The sender of a request owns both halves; no other region does."""
+        deployment = Deployment(examples.ENTRIES, _VMS)
+        bajio = ('bajio-a-1', 'bajio-a-2', 'bajio-b-1')
+        cases = (
+            ('link/bajio/norte/requests', bajio),
+            ('link/bajio/norte/responses', ('norte-a-1',)),
+            ('shift/catalogue/bajio/norte', bajio),
+        )
+        for resource, expected in cases:
+            demand = _find(deployment, resource)
+            self.assertEqual(demand.tiers, (expected,))
+
+    def test_departure(self) -> None:
+        """A VM that has left owns nothing; one that leaves gets no share."""
+        deployment = Deployment(examples.ENTRIES, _VMS)
+        deployment.share(MarkLeaving(*OWN))
+        deployment.settle()
+        shares = deployment.view.shares.resources
+        holders = shares[ResourceId('target/catalogue-1')].holders
+        in_use = {key.vm for key, held in holders.items() if held.share}
+        self.assertEqual(in_use, {VmId('bajio-a-2')})
+        deployment.share(DepartVm(*OWN))
+        owners = _owners(_find(deployment, 'target/catalogue-1'))
+        self.assertEqual(owners, ('bajio-a-2',))
