--- a/libraries/daemon/plantainstand_daemon/_caller_api.py
+++ b/libraries/daemon/plantainstand_daemon/_caller_api.py
@@ -27,6 +27,7 @@
     HttpResponse,
     error_response,
     json_response,
+    whole_number,
 )
 from plantainstand_daemon._messages import Reply, SteeredRequest
 
@@ -167,12 +168,13 @@
     text = request.header(DEADLINE_HEADER)
     if text is None:
         return Ok(timedelta(milliseconds=longest))
-    if not text.isascii() or not text.isdigit() or int(text) == 0:
+    milliseconds = whole_number(text)
+    if not milliseconds:
         return _bad_request(
             f'`{DEADLINE_HEADER}` must be a whole number of milliseconds '
             f'above zero, not `{text}`',
         )
-    return Ok(timedelta(milliseconds=min(int(text), longest)))
+    return Ok(timedelta(milliseconds=min(milliseconds, longest)))
 
 
 def _bad_request(message: str) -> Err[RequestRefused]:
@@ -200,7 +202,7 @@
     if reply.answer is None:
         return json_response(
             _OUTCOME_STATUS[reply.outcome],
-            {'outcome': reply.outcome.value, 'message': reply.reason},
+            {'error': reply.outcome.value, 'message': reply.reason},
             headers,
         )
     answer = reply.answer
--- a/libraries/daemon/plantainstand_daemon/_http.py
+++ b/libraries/daemon/plantainstand_daemon/_http.py
@@ -13,6 +13,8 @@
 
 _JSON_HEADERS = (('Content-Type', 'application/json'),)
 _HEADER_PREFIX = 'HTTP_'
+# Fits into 64 bits; Python refuses to read thousands of digits.
+_MAX_DIGITS = 18
 
 Environment = Mapping[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -76,6 +78,13 @@
 Handler = Callable[[HttpRequest], HttpResponse]
 
 
+def whole_number(text: str) -> int | None:
+    """Read a number of plain digits, at most 18 of them."""
+    if len(text) > _MAX_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
+
+
 def json_response(
     status: HTTPStatus,
     document: object,
@@ -157,7 +166,7 @@
     request = HttpRequest(
         environment['REQUEST_METHOD'],
         [segment for segment in rest.split('/') if segment],
-        _raw_path(rest, query),
+        _raw_path(environment, prefix, rest),
         dict(parse_qsl(query)),
         environment,
     )
@@ -171,8 +180,13 @@
         )
 
 
-def _raw_path(rest: str, query: str) -> str:
-    # WSGI hands the path over decoded as Latin-1.
+def _raw_path(environment: Environment, prefix: str, rest: str) -> str:
+    uri: str = environment.get('REQUEST_URI', '')
+    if uri.startswith(prefix):
+        return uri.removeprefix(prefix) or '/'
+    # The target is given as a whole URL or with an escaped prefix. WSGI hands
+    # the path over decoded as Latin-1.
+    query = environment.get('QUERY_STRING', '')
     path = quote(rest.encode('latin-1')) or '/'
     return f'{path}?{query}' if query else path
 
--- a/libraries/daemon/plantainstand_daemon/_operator_api.py
+++ b/libraries/daemon/plantainstand_daemon/_operator_api.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Annotated
 
 import msgspec
 from plantainstand_catalogue import (
@@ -40,6 +41,7 @@
     HttpResponse,
     error_response,
     json_response,
+    whole_number,
 )
 from plantainstand_daemon._progress import (
     change_progress,
@@ -49,11 +51,13 @@
 
 _MAX_BODY_BYTES = 65536
 _ENTRY_PATH_LENGTH = 2
+# MessagePack cannot carry integers above 64 bits.
+_MAX_REVISION = 9007199254740991
 
 
 class _PutBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    operation_id: str
-    expected_revision: int
+    operation_id: Annotated[str, msgspec.Meta(min_length=1)]
+    expected_revision: Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)]
     entry: Mapping[str, object]
 
 
@@ -130,7 +134,8 @@
 
 def handle_changes(port: OperatorPort, request: HttpRequest) -> HttpResponse:
     """Handle ``GET /operator/v1/changes/<revision>``."""
-    if len(request.segments) != 1 or not request.segments[0].isdigit():
+    revision = whole_number(request.segments[0]) if request.segments else None
+    if len(request.segments) != 1 or revision is None:
         return error_response(
             HTTPStatus.NOT_FOUND,
             'the path must be /operator/v1/changes/<revision>',
@@ -138,7 +143,6 @@
     report = port.report()
     if isinstance(report, Err):
         return _control_response(report.err_value)
-    revision = int(request.segments[0])
     return json_response(
         HTTPStatus.OK,
         change_progress(port.view(), report.ok_value, revision),
@@ -227,8 +231,8 @@
     request: HttpRequest,
 ) -> HttpResponse:
     operation_id = request.query.get('operation_id', '')
-    expected = request.query.get('expected_revision', '')
-    if not operation_id or not expected.isdigit():
+    expected = whole_number(request.query.get('expected_revision', ''))
+    if not operation_id or expected is None:
         return error_response(
             HTTPStatus.BAD_REQUEST,
             'give `operation_id` and a whole number as `expected_revision`',
@@ -238,7 +242,7 @@
         RemoveEntry(
             OperationId(operation_id),
             entry_id,
-            Revision(int(expected)),
+            Revision(expected),
         ),
     )
 
@@ -306,6 +310,7 @@
         HTTPStatus.UNPROCESSABLE_ENTITY,
         {
             'error': 'invalid change',
+            'message': 'nothing was changed; correct what `problems` names',
             'problems': [str(problem) for problem in problems],
         },
     )
--- a/libraries/daemon/plantainstand_daemon/_progress.py
+++ b/libraries/daemon/plantainstand_daemon/_progress.py
@@ -15,7 +15,7 @@
 from plantainstand_shares import SupportTiming, VmRecord, VmState
 
 from plantainstand_daemon._control_state import ControlView
-from plantainstand_daemon._demands import target_resource
+from plantainstand_daemon._demands import build_demands, target_resource
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -123,10 +123,19 @@
 
 
 def _holders_over_capacity(view: ControlView) -> Iterator[VmId]:
-    """Yield the VMs that may still use more than their new share."""
-    for shares in view.shares.resources.values():
+    """Yield the VMs that may still use more than their new share.
+
+    Until the leader has planned shares under a lowered limit, that is every
+    holder.
+    """
+    limits = {
+        demand.resource: demand.capacity for demand in build_demands(view)
+    }
+    for resource, shares in view.shares.resources.items():
+        is_over = shares.held > limits.get(resource, 0)
         for share in shares.holders.values():
-            if share.held > share.share:
+            allowed = 0 if is_over else share.share
+            if share.held > allowed:
                 yield share.vm
 
 
--- a/tests/daemon/test_services.py
+++ b/tests/daemon/test_services.py
@@ -190,7 +190,8 @@
         """A target that failed stays behind after a change elsewhere."""
         table = _Table('norte-a-1')
         view = table.runtime.view
-        for attempt in [view.start(_TARGET) for _number in range(20)]:
+        attempts = [view.start(_TARGET) for _number in range(20)]
+        for attempt in attempts:
             table.clock.advance(timedelta(milliseconds=10))
             view.finish(attempt, AttemptResult.FAILED)
         self.assertEqual(table.ranked, (_FAR, _TARGET))
