Measure the slopes for the planned size

Ruled out: whole daemons, of which one machine runs too few; stand-ins for the daemon's parts, whose cost would say nothing about the daemon's.

Change: the part `capacity` of the benchmarks measures the daemon's own classes over loopback gRPC, with processor time by thread and bytes counted by a relay, and a VM's memory in a process of its own. _capacity_load, _capacity_limits and _capacity_tables work out the load of each role and the size at which a mechanism reaches its limit.

--- a/bench/plantainstand_bench/__main__.py
+++ b/bench/plantainstand_bench/__main__.py
@@ -51,6 +51,10 @@
     def run_membership(options: argparse.Namespace) -> Figures:
         return _call('_membership_benchmark', 'measure_membership')
 
+    def run_capacity(options: argparse.Namespace) -> Figures:
+        module = '_capacity_benchmark'
+        return _call(module, 'measure_capacity', options.seed)
+
     def run_system(options: argparse.Namespace) -> Figures:
         module = '_system_benchmark'
         folder = options.out / 'system'
@@ -61,6 +65,7 @@
         'shares': run_shares,
         'policies': run_policies,
         'membership': run_membership,
+        'capacity': run_capacity,
         'system': run_system,
     }
 
