--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,8 @@
 	$(BIN)/ruff format .
 
 run: setup
-	$(BIN)/plantainstand-load --deployment bench/deployments/trefila-drains.jsonc \
-	  --faults bench/deployments/trefila-drains-faults.jsonc --load-factor 0.6 --seed 1 --out out/run \
+	$(BIN)/plantainstand-load --deployment bench/deployments/trefila.jsonc \
+	  --faults bench/deployments/trefila-drains.jsonc --load-factor 0.6 --seed 1 --out out/run \
 	  --daemon $(BIN)/plantainstandd --control $(BIN)/plantainstandctl
 
 bench: setup
