--- a/tests/daemon/places.py
+++ b/tests/daemon/places.py
@@ -28,7 +28,7 @@
     ServiceRuntime,
 )
 from plantainstand_protocol import Endpoint
-from plantainstand_shares import VmIncarnation
+from plantainstand_shares import Reservation, VmIncarnation
 from plantainstand_steering import (
     AdmissionQueue,
     Candidate,
@@ -40,6 +40,7 @@
     ServiceView,
     TargetHealth,
 )
+from result import Ok
 
 from tests.catalogue import examples
 from tests.consensus.simulated_loop import SimulatedLoop
