End the process even if an HTTP thread does not end

Ruled out: requests in flight (none) and the departure (committed). The thread that hung was not seen, so the cause is inferred. Change: closing the server takes 7 s at most, and the process then ends without waiting for threads.

--- a/libraries/daemon/plantainstand_daemon/__init__.py
+++ b/libraries/daemon/plantainstand_daemon/__init__.py
@@ -1,6 +1,6 @@
 """The plantainstandd daemon."""
 
-from plantainstand_daemon._main import main
+from plantainstand_daemon._main import main, run
 from plantainstand_daemon._settings import (
     DaemonSettings,
     Role,
@@ -12,4 +12,5 @@
     'Role',
     'load_daemon_settings',
     'main',
+    'run',
 )
--- a/libraries/daemon/plantainstand_daemon/_daemon.py
+++ b/libraries/daemon/plantainstand_daemon/_daemon.py
@@ -38,7 +38,10 @@
 from plantainstand_daemon._steering_parts import Resources, SteeringParts
 from plantainstand_daemon._steering_service import SteeringService
 from plantainstand_daemon._tasks import TaskOwner, repeat
-from plantainstand_daemon._web_server import start_web_server
+from plantainstand_daemon._web_server import (
+    close_web_server,
+    start_web_server,
+)
 
 _log = structlog.get_logger()
 
@@ -155,7 +158,7 @@
         stack.push_async_callback(self._tasks.stop)
         self._start_tasks()
         web_stack = ExitStack()
-        stack.push_async_callback(asyncio.to_thread, web_stack.close)
+        stack.push_async_callback(close_web_server, web_stack)
         await asyncio.to_thread(self._start_web_server, web_stack)
 
     async def _start_rpc_server(self, stack: AsyncExitStack) -> None:
--- a/libraries/daemon/plantainstand_daemon/_main.py
+++ b/libraries/daemon/plantainstand_daemon/_main.py
@@ -2,9 +2,11 @@
 
 import argparse
 import asyncio
+import os
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 from plantainstand_consensus import format_voter
 from plantainstand_telemetry import configure_logs
@@ -19,6 +21,17 @@
 EXIT_LISTEN = 4
 
 
+def run() -> NoReturn:
+    """Run the daemon as a program.
+
+    Threads that still read from a silent connection must not delay the end of
+    a process that has left, so nothing waits for them.
+    """
+    code = main()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon; return its exit code.
 
--- a/libraries/daemon/plantainstand_daemon/_web_server.py
+++ b/libraries/daemon/plantainstand_daemon/_web_server.py
@@ -1,11 +1,14 @@
 """The CherryPy server of the daemon."""
 
 from contextlib import ExitStack
+from datetime import timedelta
+from threading import Thread
 
 import cherrypy
 
 from plantainstand_daemon._http import Application
 from plantainstand_daemon._settings import HttpSettings
+from plantainstand_daemon._tasks import pause
 
 # Larger than any request body that a catalogue entry may sensibly allow; the
 # service's own limit is checked by the handler.
@@ -13,6 +16,8 @@
 _LISTEN_BACKLOG = 1024
 _IDLE_TIMEOUT_S = 30
 _SHUTDOWN_TIMEOUT_S = 5
+_CLOSE_TIMEOUT = timedelta(seconds=7)
+_POLL_INTERVAL = timedelta(milliseconds=50)
 
 
 def start_web_server(
@@ -44,3 +49,18 @@
     cherrypy.tree.graft(application, '')
     cherrypy.engine.start()
     stack.callback(cherrypy.engine.exit)
+
+
+async def close_web_server(stack: ExitStack) -> None:
+    """Close ``stack``, but give up on HTTP threads that do not end.
+
+    The server joins its threads without a limit once its own timeout has
+    passed, and a thread that reads from a silent connection would keep a
+    process that has left from ending.
+    """
+    closing = Thread(target=stack.close, daemon=True)
+    closing.start()
+    polls = _CLOSE_TIMEOUT // _POLL_INTERVAL
+    while closing.is_alive() and polls:
+        polls -= 1
+        await pause(_POLL_INTERVAL)
