Give each voter its own time to show that it has caught up

Cause: following had no tests. Found: after a stuck voter was left, its waiting time counted against the next one too, so the first item of every further voter was dropped and the commit index that the leader told was never reached. Change: the time starts anew with each voter; tests of voters that are stuck, silent or behind, on a simulated loop. Conclusion: before the change the case in which all voters lag failed and the whole file did not end within 6 s; it passes now.

--- a/libraries/daemon/plantainstand_daemon/_follow.py
+++ b/libraries/daemon/plantainstand_daemon/_follow.py
@@ -71,6 +71,8 @@
 
     async def _read(self, channel: Channel) -> None:
         seconds = _SILENCE_TIMEOUT.total_seconds()
+        # Each voter gets the whole time to show that it has caught up.
+        self._expected_at = self._clock.monotonic()
         await asyncio.wait_for(channel.__connect__(), seconds)
         async with ControlStub(channel).Follow.open() as stream:
             request = FollowRequest(
--- a/tests/daemon/deployment.py
+++ b/tests/daemon/deployment.py
@@ -58,6 +58,7 @@
     ) -> None:
         """Name VMs after their zone, as in ``bajio-a-1``."""
         self.log = FakeLog()
+        self.last_command = b''
         for entry in entries:
             self.put(entry)
         self.share(SetLongestDeadline(2000))
@@ -114,7 +115,8 @@
     def share(self, command: AnyCommand) -> None:
         """Commit a command about VMs and shares."""
         encoded = encode_command(command)
-        self.log.commit(wrap_command(CommandKind.SHARES, encoded))
+        self.last_command = wrap_command(CommandKind.SHARES, encoded)
+        self.log.commit(self.last_command)
 
     def change(self, command: catalogue.CatalogueCommand) -> None:
         """Commit a change of the catalogue, which must be accepted."""
--- /dev/null
+++ b/tests/daemon/test_follow.py
@@ -0,0 +1,234 @@
+"""An entry VM follows the log from whichever voter keeps up with it."""
+
+import asyncio
+import unittest
+from collections.abc import Iterator
+from datetime import timedelta
+from itertools import repeat
+from typing import Any, cast
+from unittest.mock import AsyncMock, Mock, patch
+
+from plantainstand_core import Clock, LogIndex, ManualClock, VmId
+from plantainstand_daemon._control_state import ControlState
+from plantainstand_daemon._follow import Follower
+from plantainstand_daemon._settings import VoterAddress
+from plantainstand_protocol.steering_pb2 import (
+    FollowCommand,
+    FollowEntries,
+    FollowItem,
+    FollowKeepAlive,
+    FollowSnapshot,
+)
+
+from tests.catalogue import examples
+from tests.consensus.simulated_loop import SimulatedLoop, run_simulated
+from tests.daemon.deployment import Deployment
+from tests.daemon.fakes import make_instruments
+
+_INTERVAL = timedelta(milliseconds=500)
+_CHANNEL = 'plantainstand_daemon._follow.Channel'
+_SILENT = None
+_KEEP_ALIVE = FollowItem(keep_alive=FollowKeepAlive())
+_VOTERS = ('voter-1', 'voter-2')
+
+
+class _Stream:
+    """Sends an item at each interval, then stays silent."""
+
+    def __init__(self, items: Iterator[FollowItem | None]) -> None:
+        self.asked: list[int] = []
+        self._items = items
+
+    async def __aenter__(self) -> '_Stream':
+        return self
+
+    async def __aexit__(self, *_problem: object) -> None:
+        """Close nothing."""
+
+    async def send_message(self, request: Any, *, end: bool) -> None:
+        """Note the index from which the follower asks."""
+        assert end
+        self.asked.append(request.after_index)
+
+    async def recv_message(self) -> FollowItem:
+        """Wait for the next item."""
+        await asyncio.sleep(_INTERVAL.total_seconds())
+        item = next(self._items, _SILENT)
+        if item is None:
+            await asyncio.get_running_loop().create_future()
+        assert item is not None
+        return item
+
+
+class _Voters:
+    """Stands for the channels to all voters."""
+
+    def __init__(self, **items: Iterator[FollowItem | None]) -> None:
+        self.streams = {
+            name.replace('_', '-'): _Stream(script)
+            for name, script in items.items()
+        }
+        self.visits: list[tuple[str, timedelta]] = []
+
+    def channel(self, host: str, _port: int) -> Mock:
+        """Stand in for the class of gRPC channels."""
+        loop = cast(SimulatedLoop, asyncio.get_running_loop())
+        self.visits.append((host, loop.monotonic()))
+        channel = Mock()
+        channel.__connect__ = AsyncMock()
+        channel.request.return_value = self.streams[host]
+        return channel
+
+
+def _entries(first: int, *commands: bytes) -> FollowItem:
+    return FollowItem(
+        entries=FollowEntries(
+            through_index=first + len(commands) - 1,
+            commands=[
+                FollowCommand(index=index, command=command)
+                for index, command in enumerate(commands, start=first)
+            ],
+        ),
+    )
+
+
+def _through(index: int) -> FollowItem:
+    return FollowItem(entries=FollowEntries(through_index=index))
+
+
+def _snapshot(state: ControlState) -> FollowItem:
+    return FollowItem(
+        snapshot=FollowSnapshot(
+            index=state.index,
+            state=state.follower_snapshot(),
+        ),
+    )
+
+
+def _follower(state: ControlState, clock: Clock) -> Follower:
+    voters = [VoterAddress(VmId(name), name, 1) for name in _VOTERS]
+    follower = Follower(
+        VmId('bajio-a-1'),
+        voters,
+        state,
+        make_instruments(clock),
+    )
+    # The random order is not what these tests are about.
+    follower._voters.sort(key=lambda voter: voter.vm)
+    return follower
+
+
+async def _follow_for(
+    voters: _Voters,
+    seconds: float,
+    commit: int = 0,
+) -> ControlState:
+    """Follow from the start, with a commit index told by the leader."""
+    state = ControlState()
+    loop = cast(SimulatedLoop, asyncio.get_running_loop())
+    follower = _follower(state, loop)
+    follower.note_commit(LogIndex(commit))
+    with patch(_CHANNEL, voters.channel):
+        running = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(seconds)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+    return state
+
+
+class VoterChoiceTest(unittest.TestCase):
+    """Guards against a VM that never hears of changes again."""
+
+    def test_stuck(self) -> None:
+        """A voter that lacks what the leader has committed is left."""
+        voters = _Voters(
+            voter_1=repeat(_KEEP_ALIVE),
+            voter_2=repeat(_through(5)),
+        )
+        state = run_simulated(_follow_for(voters, 9.8, commit=5))
+        self.assertEqual([host for host, _at in voters.visits], list(_VOTERS))
+        self.assertLessEqual(voters.visits[1][1], timedelta(seconds=2.5))
+        self.assertEqual(state.index, 5)
+
+    def test_all_stuck(self) -> None:
+        """While no voter knows more, each is asked in turn."""
+        voters = _Voters(
+            voter_1=repeat(_KEEP_ALIVE),
+            voter_2=repeat(_KEEP_ALIVE),
+        )
+        run_simulated(_follow_for(voters, 9.8, commit=5))
+        moments = [at for _host, at in voters.visits]
+        waits = [
+            later - earlier for earlier, later in zip(moments, moments[1:])
+        ]
+        self.assertGreater(len(waits), 2)
+        for wait in waits:
+            self.assertGreater(wait, timedelta(seconds=1.5))
+
+    def test_silent(self) -> None:
+        """A stream without keep-alives is given up."""
+        voters = _Voters(voter_1=iter(()), voter_2=repeat(_through(5)))
+        state = run_simulated(_follow_for(voters, 9.8))
+        self.assertEqual(len(voters.visits), 2)
+        self.assertEqual(state.index, 5)
+
+    def test_healthy(self) -> None:
+        """A voter that keeps up is not left."""
+        voters = _Voters(voter_1=repeat(_through(5)), voter_2=iter(()))
+        run_simulated(_follow_for(voters, 9.8, commit=5))
+        self.assertEqual(len(voters.visits), 1)
+
+    def test_goes_on(self) -> None:
+        """The next voter is asked for what comes after the present index."""
+        voters = _Voters(
+            voter_1=iter((_through(3),)),
+            voter_2=repeat(_through(5)),
+        )
+        run_simulated(_follow_for(voters, 9.8))
+        self.assertEqual(voters.streams['voter-1'].asked, [0])
+        self.assertEqual(voters.streams['voter-2'].asked, [3])
+
+
+class ItemTest(unittest.TestCase):
+    """Guards against a change that reverts when the voter is replaced."""
+
+    def setUp(self) -> None:
+        """Set up a deployment with a snapshot from some time ago."""
+        self.deployment = Deployment(examples.ENTRIES, ('bajio-a-1',))
+        self.source = self.deployment.log.state
+        self.old = _snapshot(self.source)
+        self.deployment.register('bajio-a-2')
+        self.state = ControlState()
+        self.follower = _follower(self.state, ManualClock())
+
+    def test_voter_behind(self) -> None:
+        """An older snapshot or entry does not take the state back."""
+        self.follower._accept(_snapshot(self.source))
+        before = self.state.snapshot()
+        older = (
+            self.old,
+            _entries(1, b'unknown', b'unknown'),
+            _through(1),
+            _KEEP_ALIVE,
+        )
+        for item in older:
+            with self.subTest(item.WhichOneof('item')):
+                self.follower._accept(item)
+                self.assertEqual(self.state.snapshot(), before)
+
+    def test_newer_snapshot(self) -> None:
+        """A snapshot from further on replaces the state."""
+        self.follower._accept(self.old)
+        self.follower._accept(_snapshot(self.source))
+        self.assertEqual(self.state.snapshot(), self.source.snapshot())
+
+    def test_overlap(self) -> None:
+        """Of entries that are known in part, the new ones are applied."""
+        self.follower._accept(self.old)
+        known = self.state.index
+        applied: list[int] = []
+        self.state.add_listener(lambda: applied.append(self.state.index))
+        command = self.deployment.last_command
+        self.follower._accept(_entries(known, command, command))
+        self.assertEqual(applied, [known + 1])
+        self.assertEqual(self.state.index, known + 1)
