--- a/libraries/daemon/plantainstand_daemon/_forward.py
+++ b/libraries/daemon/plantainstand_daemon/_forward.py
@@ -179,6 +179,8 @@
     """Read the message that answers a forwarded request."""
     outcome = dict(_OUTCOMES).get(message.outcome, RequestOutcome.UNKNOWN)
     answer = None
+    if outcome is RequestOutcome.ANSWERED and not message.HasField('answer'):
+        return unknown('the reply says "answered" and holds no answer')
     if outcome is RequestOutcome.ANSWERED:
         answer = Answer(
             message.answer.status,
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -88,8 +88,8 @@
     def test_refused_connection(self) -> None:
         """A connection that cannot be made proves that nothing ran."""
         with run_target(response) as port:
-            self._send(port)
-        outcome = self._send(port).outcome
+            freed = port
+        outcome = self._send(freed).outcome
         self.assertEqual(outcome, DispatchOutcome.UNREACHABLE)
 
     def test_no_time_left(self) -> None:
