--- a/libraries/daemon/plantainstand_daemon/_tasks.py
+++ b/libraries/daemon/plantainstand_daemon/_tasks.py
@@ -8,6 +8,8 @@
 
 _log = structlog.get_logger()
 
+_CANCEL_INTERVAL_S = 0.2
+
 
 async def pause(length: timedelta) -> None:
     """Wait without blocking the event loop."""
@@ -40,11 +42,16 @@
         task.add_done_callback(self._finish)
 
     async def stop(self) -> None:
-        """Cancel every task and wait for its end."""
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel every task and wait for its end.
+
+        A cancel is repeated until the task ends: ``asyncio.wait_for`` of
+        Python 3.11 loses one that arrives together with its result.
+        """
+        while self._tasks:
+            tasks = tuple(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=_CANCEL_INTERVAL_S)
 
     def _finish(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
