--- a/bench/plantainstand_bench/_capacity_control.py
+++ b/bench/plantainstand_bench/_capacity_control.py
@@ -11,7 +11,7 @@
 from types import MappingProxyType
 
 from plantainstand_core import Incarnation, VmId
-from plantainstand_daemon._control_service import encode_vm
+from plantainstand_daemon._control_messages import encode_vm
 from plantainstand_daemon._control_state import ControlState
 from plantainstand_daemon._follow import Follower
 from plantainstand_daemon._settings import VoterAddress
--- a/bench/plantainstand_bench/_capacity_exchange.py
+++ b/bench/plantainstand_bench/_capacity_exchange.py
@@ -9,7 +9,7 @@
 
 from grpclib.server import Server, Stream
 from plantainstand_core import Incarnation, RegionId
-from plantainstand_daemon._control_service import encode_vm
+from plantainstand_daemon._control_messages import encode_vm
 from plantainstand_daemon._exchange import Exchange
 from plantainstand_daemon._holding import Holding, open_holding
 from plantainstand_daemon._instruments import Instruments
--- /dev/null
+++ b/libraries/daemon/plantainstand_daemon/_attempts.py
@@ -0,0 +1,70 @@
+"""Attempts at one request: what has been tried and how it ended."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from plantainstand_core import RequestOutcome
+from plantainstand_steering import Candidate, CandidateId
+
+from plantainstand_daemon._messages import (
+    Reply,
+    SteeredRequest,
+    not_run,
+    unknown,
+)
+from plantainstand_daemon._services import ServiceRuntime
+
+
+@dataclass
+class Progress:
+    """What has been tried for one request."""
+
+    request: SteeredRequest
+    runtime: ServiceRuntime
+    excluded: set[CandidateId] = field(default_factory=set)
+    tried: list[Candidate] = field(default_factory=list)
+    local_refused: bool = False
+    may_have_run: bool = False
+    reason: str = 'no target or VM has a slot for this service'
+
+    def conclude(self) -> Reply:
+        """Return the reply when no further attempt is made."""
+        if self.may_have_run:
+            return unknown(self.reason)
+        return not_run(self.reason)
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """How one attempt ended."""
+
+    reply: Reply
+    spent_elsewhere: bool
+    """Whether a target or another VM was asked, which a retry must pay."""
+
+
+async def first_answer(
+    attempts: set[asyncio.Task[Attempt]],
+) -> Attempt:
+    """Return the first attempt with an answer, else the last to end.
+
+    If one attempt may have run, the result says so even when the other one
+    certainly did not.
+    """
+    pending = set(attempts)
+    failed: list[Attempt] = []
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for ended in done:
+            attempt = ended.result()
+            if attempt.reply.outcome is RequestOutcome.ANSWERED:
+                return attempt
+            failed.append(attempt)
+    return max(failed, key=_is_unknown)
+
+
+def _is_unknown(attempt: Attempt) -> bool:
+    return attempt.reply.outcome is RequestOutcome.UNKNOWN
--- a/libraries/daemon/plantainstand_daemon/_control_service.py
+++ b/libraries/daemon/plantainstand_daemon/_control_service.py
@@ -1,37 +1,28 @@
 """gRPC services of a voter: consensus messages and control state."""
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from datetime import timedelta
 
 from grpclib.server import Stream
 from plantainstand_consensus import (
-    CommittedEntry,
     EntriesItem,
     LogReplica,
     NotLeader,
-    Overloaded,
-    ProposeProblem,
     Role,
     SnapshotItem,
-    Stopped,
-    StorageFailed,
     Subscription,
     decode_message,
 )
 from plantainstand_core import (
-    Incarnation,
     LogIndex,
     RequestId,
-    ResourceId,
     VmId,
 )
 from plantainstand_protocol.steering_grpc import ConsensusBase, ControlBase
 from plantainstand_protocol.steering_pb2 import (
     ConsensusEnvelope,
     Empty,
-    FollowCommand,
-    FollowEntries,
     FollowItem,
     FollowKeepAlive,
     FollowRequest,
@@ -47,20 +38,20 @@
     ReportRequest,
     VmReport,
 )
-from plantainstand_protocol.steering_pb2 import (
-    VmIncarnation as WireVm,
-)
 from plantainstand_records import decode_command as decode_record_command
 from plantainstand_records import encode_command as encode_record_command
 from plantainstand_records import encode_outcome, stamp_command
 from plantainstand_shares import (
-    Heartbeat,
     HeartbeatStatus,
-    ReleasedShare,
-    VmIncarnation,
 )
 from result import Err, Ok
 
+from plantainstand_daemon._control_messages import (
+    decode_heartbeat,
+    encode_vm,
+    entries_item,
+    proposal_status,
+)
 from plantainstand_daemon._control_state import (
     CommandKind,
     ControlState,
@@ -209,7 +200,7 @@
         )
         if isinstance(proposed, Ok):
             return ProposeResult(outcome=proposed.ok_value)
-        return ProposeResult(status=_refusal(proposed.err_value))
+        return ProposeResult(status=proposal_status(proposed.err_value))
 
     def _stamp(self, command: bytes) -> bytes:
         if command_kind(command) is not CommandKind.RECORDS:
@@ -290,7 +281,7 @@
     def _follow_item(self, item: SnapshotItem | EntriesItem) -> FollowItem:
         if isinstance(item, SnapshotItem):
             return self._snapshot_item()
-        return _entries_item(item.entries, item.through)
+        return entries_item(item.entries, item.through)
 
     def _keep_alive(self) -> FollowItem:
         index = self._replica.status().commit_index
@@ -305,58 +296,3 @@
         return await anext(subscription)
     except StopAsyncIteration:
         return None
-
-
-def encode_vm(key: VmIncarnation) -> WireVm:
-    """Build the message form of an incarnation."""
-    return WireVm(vm=key.vm, incarnation=key.incarnation)
-
-
-def decode_vm(message: WireVm) -> VmIncarnation:
-    """Read an incarnation."""
-    return VmIncarnation(VmId(message.vm), Incarnation(message.incarnation))
-
-
-def decode_heartbeat(request: HeartbeatRequest) -> Heartbeat:
-    """Read a heartbeat."""
-    return Heartbeat(
-        decode_vm(request.sender),
-        LogIndex(request.applied_index),
-        tuple(
-            ReleasedShare(
-                ResourceId(released.resource),
-                LogIndex(released.version),
-            )
-            for released in request.released
-        ),
-        frozenset(decode_vm(key) for key in request.revoked),
-        request.drained,
-    )
-
-
-def _entries_item(
-    entries: Sequence[CommittedEntry],
-    through: LogIndex,
-) -> FollowItem:
-    return FollowItem(
-        entries=FollowEntries(
-            through_index=through,
-            commands=[
-                FollowCommand(index=entry.index, command=entry.payload)
-                for entry in entries
-                if command_kind(entry.payload) is not CommandKind.RECORDS
-            ],
-        ),
-    )
-
-
-def _refusal(problem: ProposeProblem) -> 'ProposeResult.Status.ValueType':
-    match problem:
-        # An overloaded leader has not put the command into its log either.
-        case NotLeader() | Overloaded():
-            return ProposeResult.NOT_LEADER
-        case Stopped():
-            return ProposeResult.STOPPED
-        case StorageFailed():
-            return ProposeResult.STORAGE_FAILED
-    return ProposeResult.TIMED_OUT
--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -23,6 +23,7 @@
 from plantainstand_telemetry import current_traceparent
 from result import Err
 
+from plantainstand_daemon._attempts import Attempt, Progress, first_answer
 from plantainstand_daemon._dispatch import DispatchOutcome
 from plantainstand_daemon._forward import Forwarder
 from plantainstand_daemon._holding import Holding
@@ -47,34 +48,6 @@
 )
 
 
-@dataclass
-class _Progress:
-    """What has been tried for one request."""
-
-    request: SteeredRequest
-    runtime: ServiceRuntime
-    excluded: set[CandidateId] = field(default_factory=set)
-    tried: list[Candidate] = field(default_factory=list)
-    local_refused: bool = False
-    may_have_run: bool = False
-    reason: str = 'no target or VM has a slot for this service'
-
-    def conclude(self) -> Reply:
-        """Return the reply when no further attempt is made."""
-        if self.may_have_run:
-            return unknown(self.reason)
-        return not_run(self.reason)
-
-
-@dataclass(frozen=True)
-class _Attempt:
-    """How one attempt ended."""
-
-    reply: Reply
-    spent_elsewhere: bool
-    """Whether a target or another VM was asked, which a retry must pay."""
-
-
 class Engine:
     """Steers requests; owned by the event loop."""
 
@@ -108,7 +81,7 @@
             request_id=request.request_id,
             service=request.service,
         ):
-            return await self._steer(_Progress(self._admit(request), runtime))
+            return await self._steer(Progress(self._admit(request), runtime))
 
     async def serve_forwarded(self, request: SteeredRequest) -> Reply:
         """Serve a request that another VM forwarded, at own targets only."""
@@ -121,7 +94,7 @@
             request_id=request.request_id,
             source_vm=request.source_vm or '',
         ):
-            progress = _Progress(self._admit(request), runtime)
+            progress = Progress(self._admit(request), runtime)
             attempt = await self._try_local(progress)
         self._metrics.count(
             'forwarded_total',
@@ -142,7 +115,7 @@
             deadline=min(request.deadline, latest),
         )
 
-    async def _steer(self, progress: _Progress) -> Reply:
+    async def _steer(self, progress: Progress) -> Reply:
         is_first = True
         while True:  # noqa: WPS457
             ranked = self._rank(progress)
@@ -161,7 +134,7 @@
 
     def _rank(
         self,
-        progress: _Progress,
+        progress: Progress,
         *,
         only_vms: bool = False,
     ) -> Sequence[RankedCandidate]:
@@ -176,12 +149,12 @@
             excluded=excluded,
         )
 
-    def _note_failure(self, progress: _Progress, reply: Reply) -> None:
+    def _note_failure(self, progress: Progress, reply: Reply) -> None:
         progress.reason = reply.reason
         if reply.outcome is RequestOutcome.UNKNOWN:
             progress.may_have_run = True
 
-    def _may_go_on(self, progress: _Progress, attempt: _Attempt) -> bool:
+    def _may_go_on(self, progress: Progress, attempt: Attempt) -> bool:
         time_left = progress.request.deadline - self._clock.monotonic()
         if not attempt.spent_elsewhere:
             # A refusal by the own queue has cost nobody else anything.
@@ -207,14 +180,14 @@
 
     async def _try(
         self,
-        progress: _Progress,
+        progress: Progress,
         ranked: RankedCandidate,
-    ) -> _Attempt:
+    ) -> Attempt:
         if ranked.candidate.kind is CandidateKind.TARGET:
             return await self._try_local(progress)
         return await self._try_vm(progress, ranked.candidate)
 
-    async def _try_local(self, progress: _Progress) -> _Attempt:
+    async def _try_local(self, progress: Progress) -> Attempt:
         excluded = frozenset(progress.excluded)
         with self._tracing.span('target') as span:
             traced = replace(
@@ -232,7 +205,7 @@
             progress.local_refused = True
         if local.outcome is DispatchOutcome.ANSWERED:
             progress.runtime.budget.record_success()
-        return _Attempt(
+        return Attempt(
             self._local_reply(local),
             local.candidate_id is not None,
         )
@@ -252,16 +225,16 @@
 
     async def _try_vm(
         self,
-        progress: _Progress,
+        progress: Progress,
         candidate: Candidate,
-    ) -> _Attempt:
+    ) -> Attempt:
         candidate_id = candidate.candidate_id
         runtime = progress.runtime
         progress.excluded.add(candidate_id)
         progress.tried.append(candidate)
         route = runtime.peers.get(candidate_id)
         if route is None:
-            return _Attempt(not_run('the VM has left'), spent_elsewhere=False)
+            return Attempt(not_run('the VM has left'), spent_elsewhere=False)
         holding = self._holding()
         reserved = self._forwarder.reserve(
             progress.request,
@@ -272,7 +245,7 @@
         if isinstance(reserved, Err):
             shortage = reserved.err_value
             reason = f'{shortage.resource}: {shortage.reason.value}'
-            return _Attempt(not_run(reason), spent_elsewhere=False)
+            return Attempt(not_run(reason), spent_elsewhere=False)
         reply = await self._forward(
             progress,
             candidate_id,
@@ -281,11 +254,11 @@
         )
         if reply.outcome is RequestOutcome.ANSWERED:
             runtime.budget.record_success()
-        return _Attempt(reply, spent_elsewhere=True)
+        return Attempt(reply, spent_elsewhere=True)
 
     async def _forward(
         self,
-        progress: _Progress,
+        progress: Progress,
         candidate_id: CandidateId,
         route: PeerRoute,
         held: tuple[Holding, Reservation | None],
@@ -310,9 +283,9 @@
 
     async def _try_hedged(
         self,
-        progress: _Progress,
+        progress: Progress,
         ranked: RankedCandidate,
-    ) -> _Attempt:
+    ) -> Attempt:
         runtime = progress.runtime
         delay = runtime.hedge.delay
         started_at = self._clock.monotonic()
@@ -327,26 +300,26 @@
 
     async def _race(
         self,
-        progress: _Progress,
+        progress: Progress,
         ranked: RankedCandidate,
         delay: timedelta,
-    ) -> _Attempt:
+    ) -> Attempt:
         first = asyncio.ensure_future(self._try(progress, ranked))
         attempts = {first}
         try:
             await asyncio.wait(attempts, timeout=delay.total_seconds())
             if not first.done():
                 attempts.update(self._start_hedge(progress, ranked))
-            return await _first_answer(attempts)
+            return await first_answer(attempts)
         finally:
             for attempt in attempts:
                 attempt.cancel()
 
     def _start_hedge(
         self,
-        progress: _Progress,
+        progress: Progress,
         ranked: RankedCandidate,
-    ) -> Sequence[asyncio.Task[_Attempt]]:
+    ) -> Sequence[asyncio.Task[Attempt]]:
         runtime = progress.runtime
         # An attempt that waits for a slot has excluded no target yet; a hedge
         # in the same queue could be given the same target.
@@ -364,30 +337,3 @@
             return ()
         self._metrics.count('hedges_total', service=progress.request.service)
         return (asyncio.ensure_future(self._try(progress, choice)),)
-
-
-async def _first_answer(
-    attempts: set[asyncio.Task[_Attempt]],
-) -> _Attempt:
-    """Return the first attempt with an answer, else the last to end.
-
-    If one attempt may have run, the result says so even when the other one
-    certainly did not.
-    """
-    pending = set(attempts)
-    failed: list[_Attempt] = []
-    while pending:
-        done, pending = await asyncio.wait(
-            pending,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for ended in done:
-            attempt = ended.result()
-            if attempt.reply.outcome is RequestOutcome.ANSWERED:
-                return attempt
-            failed.append(attempt)
-    return max(failed, key=_is_unknown)
-
-
-def _is_unknown(attempt: _Attempt) -> bool:
-    return attempt.reply.outcome is RequestOutcome.UNKNOWN
--- a/libraries/daemon/plantainstand_daemon/_exchange.py
+++ b/libraries/daemon/plantainstand_daemon/_exchange.py
@@ -26,7 +26,7 @@
 from plantainstand_steering import CandidateId, LoadReport
 from result import Err, Result
 
-from plantainstand_daemon._control_service import decode_vm, encode_vm
+from plantainstand_daemon._control_messages import decode_vm, encode_vm
 from plantainstand_daemon._demands import target_resource
 from plantainstand_daemon._holding import Holding
 from plantainstand_daemon._instruments import Instruments
--- a/libraries/daemon/plantainstand_daemon/_presence.py
+++ b/libraries/daemon/plantainstand_daemon/_presence.py
@@ -26,7 +26,7 @@
 
 from plantainstand_daemon._activity import Activity
 from plantainstand_daemon._control_client import ControlClient
-from plantainstand_daemon._control_service import decode_vm, encode_vm
+from plantainstand_daemon._control_messages import decode_vm, encode_vm
 from plantainstand_daemon._control_state import (
     CommandKind,
     ControlState,
