--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	  --daemon $(BIN)/plantainstandd --control $(BIN)/plantainstandctl
 
 bench: setup
-	$(BIN)/python -m plantainstand_bench
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m plantainstand_bench
 
 generate: setup
 	$(BIN)/pip install --quiet -r requirements-generate.txt
--- a/bench/plantainstand_bench/__main__.py
+++ b/bench/plantainstand_bench/__main__.py
@@ -60,12 +60,18 @@
         folder = options.out / 'system'
         return _call(module, 'measure_system', options.seed, folder)
 
+    def run_steering(options: argparse.Namespace) -> Figures:
+        module = '_steering_benchmark'
+        folder = options.out / 'steering'
+        return _call(module, 'measure_steering', options.seed, folder)
+
     return {
         'log': run_log,
         'shares': run_shares,
         'policies': run_policies,
         'membership': run_membership,
         'capacity': run_capacity,
+        'steering': run_steering,
         'system': run_system,
     }
 
