--- a/libraries/consensus/plantainstand_consensus/_core.py
+++ b/libraries/consensus/plantainstand_consensus/_core.py
@@ -149,6 +149,10 @@
             Configuration(tuple(members), current.voters, current.formed),
         )
 
+    def set_peers(self, peers: Sequence[VmId]) -> None:
+        """Set the VMs to ask while this disk is no voter."""
+        self._joining.set_peers(peers)
+
     def synced(self, sequence: int) -> None:
         """Note that the writes through a batch are durable."""
         self._state.outbox.synced(sequence)
--- a/libraries/consensus/plantainstand_consensus/_replica.py
+++ b/libraries/consensus/plantainstand_consensus/_replica.py
@@ -127,6 +127,10 @@
         outcome = await self._outcome(accepted, timeout)
         return outcome.map(_nothing)
 
+    def set_peers(self, peers: Sequence[VmId]) -> None:
+        """Set the VMs to ask for admission while this disk is no voter."""
+        self._core.set_peers(peers)
+
     async def read_barrier(
         self,
         timeout: timedelta,
--- /dev/null
+++ b/libraries/control/plantainstand_control/__init__.py
@@ -0,0 +1,32 @@
+"""Control role: replicated desired state, target list, entry directory."""
+
+from plantainstand_control._directory import (
+    DIRECTORY_LIFETIME,
+    EntryVm,
+    choose_entries,
+)
+from plantainstand_control._members import MemberFacts, choose_members
+from plantainstand_control._node import ControlNode
+from plantainstand_control._operator import (
+    Elsewhere,
+    OperatorService,
+    Unavailable,
+)
+from plantainstand_control._poller import ListProblem, ListReader, TargetList
+from plantainstand_control._settings import ControlSettings
+
+__all__ = (
+    'DIRECTORY_LIFETIME',
+    'ControlNode',
+    'ControlSettings',
+    'Elsewhere',
+    'EntryVm',
+    'ListProblem',
+    'ListReader',
+    'MemberFacts',
+    'OperatorService',
+    'TargetList',
+    'Unavailable',
+    'choose_entries',
+    'choose_members',
+)
--- /dev/null
+++ b/libraries/control/plantainstand_control/_directory.py
@@ -0,0 +1,48 @@
+"""Which entry VMs a client is sent to."""
+
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from plantainstand_core import AvailabilityZoneId, RegionId
+
+DIRECTORY_LIFETIME = timedelta(seconds=1)
+"""Time for which clients may keep an answer. Some keep it three times as
+long, and a stopping VM has to wait for these."""
+
+MAX_ADDRESSES = 64
+"""Addresses that clients take from one answer."""
+
+
+@dataclass(frozen=True)
+class EntryVm:
+    """An entry VM that reports to this control VM."""
+
+    client_address: str
+    zone: AvailabilityZoneId
+    region: RegionId
+    ready: bool
+
+
+def choose_entries(
+    entries: Collection[EntryVm],
+    region: RegionId,
+    homes: frozenset[RegionId],
+) -> Sequence[str]:
+    """Return the addresses of the ready VMs nearest to a client.
+
+    All VMs of the client's region take part: its zones are close to each
+    other, and a single VM in a zone would be overloaded or missed. Without
+    any, those of the home regions of the host answer, or all others.
+    """
+    ready = [entry for entry in entries if entry.ready]
+    choices: tuple[Callable[[EntryVm], bool], ...] = (
+        lambda entry: entry.region == region,
+        lambda entry: entry.region in homes,
+        lambda _entry: True,
+    )
+    for suits in choices:
+        addresses = [each.client_address for each in ready if suits(each)]
+        if addresses:
+            return sorted(addresses)[:MAX_ADDRESSES]
+    return ()
--- /dev/null
+++ b/libraries/control/plantainstand_control/_members.py
@@ -0,0 +1,42 @@
+"""Which control VMs are meant to be voters."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from plantainstand_core import RegionId, VmId
+
+
+@dataclass(frozen=True)
+class MemberFacts:
+    """What the leader knows of the control VMs."""
+
+    members: Sequence[VmId]
+    """VMs that are meant to be voters now."""
+
+    live: Mapping[VmId, RegionId]
+    """VMs that were heard lately, the leader itself included."""
+
+    tolerated_losses: int
+    """Voters that may be lost at once."""
+
+
+def choose_members(facts: MemberFacts) -> tuple[VmId, ...]:
+    """Return the VMs that are to be voters.
+
+    A voter set of twice the tolerated losses and one is kept full of live
+    VMs, spread over the regions, so that the loss of one region leaves a
+    majority. A VM that is not live keeps its place until there is another
+    to take it.
+    """
+    wanted = 2 * facts.tolerated_losses + 1
+    kept = [vm for vm in facts.members if vm in facts.live]
+    silent = [vm for vm in facts.members if vm not in facts.live]
+    spare = sorted(set(facts.live) - set(kept))
+    while len(kept) < wanted and spare:
+        used = Counter(facts.live[vm] for vm in kept)
+        chosen = min(spare, key=lambda vm: (used[facts.live[vm]], vm))
+        spare.remove(chosen)
+        kept.append(chosen)
+    missing = max(0, max(wanted, len(facts.members)) - len(kept))
+    return tuple(sorted((*kept, *silent[:missing])))
--- /dev/null
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -0,0 +1,176 @@
+"""Links of an entry VM to the control VMs."""
+
+import asyncio
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from datetime import timedelta
+
+import structlog
+from plantainstand_core import Clock, LogIndex, VmId
+from plantainstand_desired import DesiredView
+from plantainstand_fleet import (
+    DesiredUpdate,
+    EntryReport,
+    Hello,
+    Roster,
+    TargetUpdate,
+    VmRole,
+    decode_fleet_message,
+    encode_fleet_message,
+)
+from plantainstand_links import Link, LinkEvents, LinkTimes, OutgoingLink
+from plantainstand_placement import TargetBoard
+from result import Err
+
+from plantainstand_edge._fleet_size import FleetSize
+from plantainstand_edge._settings import EntrySettings
+
+_log = structlog.get_logger()
+
+REPORT_INTERVAL = timedelta(milliseconds=500)
+"""How often the VM reports: a dead one is noticed after three reports."""
+
+MAX_CONTROL_LINKS = 9
+"""Control VMs that one entry VM connects to; each brings every change."""
+
+
+@dataclass(frozen=True)
+class Beliefs:
+    """What control VMs tell an entry VM."""
+
+    view: DesiredView
+    board: TargetBoard
+    fleet: FleetSize
+
+
+class ControlLinks:
+    """Keeps links to the control VMs and takes what they send."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        beliefs: Beliefs,
+        clock: Clock,
+        on_desired: Callable[[], None],
+    ):
+        """``on_desired`` is called after the desired state changed."""
+        self._settings = settings
+        self._beliefs = beliefs
+        self._clock = clock
+        self._on_desired = on_desired
+        self._links: dict[VmId, OutgoingLink] = {}
+        self._tasks: dict[VmId, asyncio.Task[None]] = {}
+        self._rosters: dict[VmId, frozenset[VmId]] = {}
+        self._seeds = settings.seeds
+
+    @property
+    def open_count(self) -> int:
+        """Number of control VMs that are connected."""
+        return sum(link.is_open for link in self._links.values())
+
+    def set_seeds(self, seeds: Collection[VmId]) -> None:
+        """Use other control VMs to begin with."""
+        self._seeds = tuple(seeds)
+        self._adjust()
+
+    def report(self, *, ready: bool) -> None:
+        """Tell all connected control VMs how this VM is."""
+        settings = self._settings
+        frame = encode_fleet_message(
+            EntryReport(
+                settings.client_address,
+                settings.zone,
+                settings.region,
+                ready,
+            ),
+        )
+        for link in self._links.values():
+            link.send(frame)
+
+    def close(self) -> None:
+        """End all links."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _adjust(self) -> None:
+        wanted = self._wanted()
+        for gone in self._links.keys() - wanted:
+            self._links.pop(gone)
+            self._tasks.pop(gone).cancel()
+        for vm in sorted(wanted - self._links.keys()):
+            self._connect(vm)
+
+    def _wanted(self) -> set[VmId]:
+        listed = set(self._seeds).union(*self._rosters.values())
+        connected = {vm for vm, link in self._links.items() if link.is_open}
+        preferred = sorted(listed, key=lambda vm: (vm not in connected, vm))
+        return set(preferred[:MAX_CONTROL_LINKS])
+
+    def _connect(self, vm: VmId) -> None:
+        events = LinkEvents(
+            opened=lambda link: self._opened(vm, link),
+            received=lambda link, frame: self._received(vm, link, frame),
+            closed=lambda _link: self._closed(vm),
+        )
+        address = f'{vm}:{self._settings.link_port}'
+        link = OutgoingLink(address, events, self._clock, LinkTimes())
+        self._links[vm] = link
+        self._tasks[vm] = asyncio.get_running_loop().create_task(link.run())
+
+    def _opened(self, vm: VmId, link: Link) -> None:
+        settings = self._settings
+        index = self._beliefs.view.index
+        hello = Hello(VmRole.ENTRY, settings.vm, settings.region, index)
+        link.send(encode_fleet_message(hello))
+        _log.info('control VM connected', control=vm, desired_index=index)
+
+    def _closed(self, vm: VmId) -> None:
+        self._rosters.pop(vm, None)
+        self._beliefs.board.forget_source(vm)
+        self._beliefs.fleet.forget(vm)
+        _log.info('control VM lost', control=vm, connected=self.open_count)
+
+    def _received(self, vm: VmId, link: Link, frame: bytes) -> None:
+        decoded = decode_fleet_message(frame)
+        if isinstance(decoded, Err):
+            _log.warning(
+                'unreadable message',
+                control=vm,
+                problem=decoded.err_value,
+            )
+            link.abort()
+            return
+        match decoded.ok_value:
+            case DesiredUpdate() as update:
+                self._take_desired(vm, update)
+            case TargetUpdate() as update:
+                now = self._clock.monotonic()
+                self._beliefs.board.update(vm, update, now)
+            case Roster() as roster:
+                self._take_roster(vm, roster)
+            case _:
+                _log.warning('unexpected message', control=vm)
+
+    def _take_desired(self, vm: VmId, update: DesiredUpdate) -> None:
+        changed = self._beliefs.view.merge(
+            update.items,
+            update.evacuations,
+            LogIndex(update.through),
+        )
+        if changed:
+            _log.info(
+                'desired state changed',
+                control=vm,
+                desired_index=update.through,
+                items=[(item.name, item.version) for item in update.items[:8]],
+                item_count=len(update.items),
+                evacuations=[
+                    (order.zone, order.active) for order in update.evacuations
+                ],
+            )
+            self._on_desired()
+
+    def _take_roster(self, vm: VmId, roster: Roster) -> None:
+        self._rosters[vm] = frozenset(roster.controls)
+        self._beliefs.fleet.note(vm, roster.entry_count)
+        self._adjust()
--- /dev/null
+++ b/libraries/edge/plantainstand_edge/_dialect.py
@@ -0,0 +1,62 @@
+"""How requests and answers are written: supplied by an adapter."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from plantainstand_core import TargetId
+from plantainstand_http import Answer, Headers, Request
+from plantainstand_placement import LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a client says beside the request itself."""
+
+    request_id: bytes
+    """Unique to one attempt of the client."""
+
+    host: str
+    """Host without its port."""
+
+    path: str
+    """Path without the query."""
+
+    object_key: bytes | None
+    """Object that the request concerns, if stated."""
+
+    patience: timedelta | None
+    """How long the client waits, if stated."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetVerdict:
+    """What an answer says beside its content."""
+
+    not_run: bool
+    """The target promises that the request did not run."""
+
+    misdirected: bool
+    """The address belongs to another target."""
+
+    load: LoadReport | None
+    """Load that the target states."""
+
+
+@dataclass(frozen=True)
+class Dialect:
+    """Reads and writes the names that callers and targets use."""
+
+    read_facts: Callable[[Request], RequestFacts | None]
+    """Returns None for a request without an id."""
+
+    target_headers: Callable[[TargetId, timedelta], Headers]
+    """Headers that name the target and the time left."""
+
+    read_verdict: Callable[[Answer], TargetVerdict]
+
+    identity_header: bytes
+    """Header, in lower case, whose value an answer echoes."""
+
+    refusal_headers: Callable[[bytes, timedelta | None], Headers]
+    """Headers of an own answer: request id, and when to come back."""
--- /dev/null
+++ b/libraries/edge/plantainstand_edge/_settings.py
@@ -0,0 +1,35 @@
+"""Settings of an entry VM."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from plantainstand_core import AvailabilityZoneId, RegionId, VmId
+from plantainstand_placement import ColdTerms, RetryBudgetTerms
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """What an entry VM is told at its start."""
+
+    vm: VmId
+    """Own IP address."""
+
+    zone: AvailabilityZoneId
+    region: RegionId
+    client_address: str
+    """Where clients reach it, ``host:port``."""
+
+    ready_address: str
+    """Where the platform asks whether it is ready."""
+
+    metrics_port: int
+    link_port: int
+    """Port on which control VMs take links."""
+
+    seeds: tuple[VmId, ...]
+    """Control VMs to begin with."""
+
+    cold_terms: ColdTerms
+    retry_terms: RetryBudgetTerms
+    grace: timedelta
+    """Time between the order to stop and the forced end."""
--- /dev/null
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -0,0 +1,362 @@
+"""Serves one request: route, target, attempts, answer."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+
+import structlog
+from plantainstand_core import Clock
+from plantainstand_desired import DesiredView, RouteMatch
+from plantainstand_http import (
+    Answer,
+    ExchangeFailure,
+    FailureKind,
+    Request,
+    Response,
+    TargetPool,
+    encode_request,
+)
+from plantainstand_placement import (
+    Choice,
+    Demand,
+    Refusal,
+    RetryBudgetShare,
+    TargetBoard,
+    TrafficSplitter,
+    choose_target,
+)
+from plantainstand_telemetry import Metrics
+from result import Err, Result
+
+from plantainstand_edge._dialect import Dialect, RequestFacts
+from plantainstand_edge._fleet_size import FleetSize
+from plantainstand_edge._journey import Journey
+from plantainstand_edge._service_times import ServiceTimes
+from plantainstand_edge._settings import EntrySettings
+
+_log = structlog.get_logger()
+
+ANSWER_MARGIN = timedelta(milliseconds=20)
+"""Time kept for an own answer to reach the client before it gives up."""
+
+MIN_ATTEMPT = timedelta(milliseconds=30)
+"""An attempt with less time left is not begun: connecting and one round trip
+between regions take longer."""
+
+DEFAULT_PATIENCE = timedelta(seconds=30)
+"""Assumed of a client that does not state a deadline."""
+
+NOT_READY_PAUSE = timedelta(milliseconds=500)
+"""When to come back to a VM that has just started."""
+
+REJECTED_PAUSE = timedelta(milliseconds=200)
+"""When to come back after targets have rejected a request: about one service
+time, in which slots become free."""
+
+MAX_CONNECT_FAILURES = 3
+"""Unreachable targets tried for one request before it is given up."""
+
+SHORTEST_QUEUE_SHARE = 0.25
+"""Part of the usual service time that a request may always wait: estimates
+are not exact to less."""
+
+
+@dataclass(frozen=True)
+class SteeringParts:
+    """State that decisions are made from."""
+
+    view: DesiredView
+    board: TargetBoard
+    pool: TargetPool
+    budget: RetryBudgetShare
+    fleet: FleetSize
+    metrics: Metrics
+
+
+class RequestSteering:
+    """Answers the requests of clients."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        parts: SteeringParts,
+        dialect: Dialect,
+        clock: Clock,
+    ):
+        """Start without history."""
+        self._settings = settings
+        self._parts = parts
+        self._dialect = dialect
+        self._clock = clock
+        self._splitter = TrafficSplitter()
+        self._times = ServiceTimes()
+
+    async def handle(self, request: Request) -> Response:
+        """Serve a request; cancelled when the client leaves."""
+        facts = self._dialect.read_facts(request)
+        if facts is None:
+            return self._own(None, HTTPStatus.BAD_REQUEST, 'no request id')
+        match = self._parts.view.match(facts.host, facts.path)
+        if match is None:
+            return self._unmatched(facts)
+        journey = self._begin(request, facts, match)
+        try:
+            return await self._serve(journey)
+        except BaseException:
+            # A cancelled task means that the client has left.
+            self._note(journey, 0, 'client left')
+            raise
+
+    def _begin(
+        self,
+        request: Request,
+        facts: RequestFacts,
+        match: RouteMatch,
+    ) -> Journey:
+        received = request.received_at
+        patience = facts.patience or DEFAULT_PATIENCE
+        longest = min(patience - ANSWER_MARGIN, match.timeout)
+        objective = timedelta(seconds=match.route.objective_seconds)
+        service = self._splitter.pick(match)
+        self._parts.budget.count_request(service, received)
+        return Journey(
+            request=request,
+            facts=facts,
+            match=match,
+            service=service,
+            deadline=received + longest,
+            objective=received + objective,
+        )
+
+    async def _serve(self, journey: Journey) -> Response:
+        while True:
+            choice = self._choose(journey)
+            if isinstance(choice, Refusal):
+                return self._give_up(journey, choice)
+            response = await self._attempt(journey, choice)
+            if response is not None:
+                return response
+            if not self._may_try_again(journey):
+                return self._give_up(journey, None)
+
+    def _choose(self, journey: Journey) -> Choice | Refusal:
+        now = self._clock.monotonic()
+        parts = self._parts
+        service_time = self._times.of(journey.service)
+        until_objective = journey.objective - now - service_time
+        demand = Demand(
+            object_key=self._object_key(journey),
+            region=self._settings.region,
+            homes=journey.match.route.home_regions,
+            longest_wait=max(
+                until_objective,
+                service_time * SHORTEST_QUEUE_SHARE,
+            ),
+            cold_limit=self._cold_limit(journey),
+            evacuating=parts.view.evacuating(),
+            tried=frozenset(journey.tried),
+        )
+        targets = parts.board.targets_of(journey.service)
+        return choose_target(demand, targets, service_time, now)
+
+    def _object_key(self, journey: Journey) -> bytes:
+        facts = journey.facts
+        if journey.match.route.sticky and facts.object_key is not None:
+            return facts.object_key
+        return facts.request_id
+
+    def _cold_limit(self, journey: Journey) -> int:
+        policy = self._parts.view.service(journey.service)
+        rate = 0 if policy is None else policy.cold_requests_per_second
+        entry_count = self._parts.fleet.entry_count
+        return self._settings.cold_terms.per_vm(rate, entry_count)
+
+    async def _attempt(
+        self,
+        journey: Journey,
+        choice: Choice,
+    ) -> Response | None:
+        """Send once; return None if another attempt may help."""
+        started = self._clock.monotonic()
+        left = journey.deadline - started
+        if left < MIN_ATTEMPT:
+            return self._give_up(journey, None)
+        state = choice.state
+        target = state.entry.target
+        journey.last_target = target
+        journey.tried.add(target)
+        payload = encode_request(
+            journey.request,
+            self._dialect.target_headers(target, left),
+        )
+        state.began(started)
+        try:
+            outcome = await self._parts.pool.exchange(
+                state.entry.address,
+                payload,
+                (self._dialect.identity_header, journey.facts.request_id),
+                left,
+                head_only=journey.request.method == b'HEAD',
+            )
+        finally:
+            state.ended()
+        return self._conclude(journey, choice, outcome, started)
+
+    def _conclude(
+        self,
+        journey: Journey,
+        choice: Choice,
+        outcome: Result[Answer, ExchangeFailure],
+        started: timedelta,
+    ) -> Response | None:
+        now = self._clock.monotonic()
+        if isinstance(outcome, Err):
+            self._note_failure(journey, choice, outcome.err_value, now)
+            return None
+        journey.sends += 1
+        answer = outcome.ok_value
+        verdict = self._dialect.read_verdict(answer)
+        state = choice.state
+        if verdict.misdirected:
+            self._parts.pool.forget(state.entry.address)
+            state.unreachable(now)
+            return None
+        if verdict.not_run:
+            state.rejected(now)
+            return None
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        state.answered(now, verdict.load, failed=failed)
+        if failed and journey.match.route.idempotent:
+            journey.maybe_ran = True
+            journey.last_answer = answer
+            return None
+        if not failed:
+            self._times.note(journey.service, now - started)
+        self._note(journey, answer.status, 'answered')
+        return Response(answer.status, answer.headers, answer.body)
+
+    def _note_failure(
+        self,
+        journey: Journey,
+        choice: Choice,
+        failure: ExchangeFailure,
+        now: timedelta,
+    ) -> None:
+        journey.last_failure = failure.kind
+        if failure.kind is FailureKind.NOT_SENT:
+            journey.connect_failures += 1
+            choice.state.unreachable(now)
+        else:
+            journey.sends += 1
+            journey.maybe_ran = True
+            choice.state.broke(now)
+        _log.info(
+            'attempt failed',
+            request=journey.facts.request_id,
+            target=choice.state.entry.target,
+            failure=failure.kind.value,
+            detail=failure.detail,
+        )
+
+    def _may_try_again(self, journey: Journey) -> bool:
+        now = self._clock.monotonic()
+        allowed = (
+            journey.may_run_again
+            and journey.sends < journey.match.route.max_attempts
+            and journey.connect_failures < MAX_CONNECT_FAILURES
+            and journey.deadline - now > MIN_ATTEMPT
+        )
+        if not allowed:
+            return False
+        if not journey.sends:
+            return True
+        return self._parts.budget.take(
+            journey.service,
+            now,
+            self._parts.fleet.entry_count,
+        )
+
+    def _give_up(self, journey: Journey, refusal: Refusal | None) -> Response:
+        """Answer without a success, saying no more than what is known."""
+        answer = journey.last_answer
+        if answer is not None:
+            self._note(journey, answer.status, 'passed on a failure')
+            return Response(answer.status, answer.headers, answer.body)
+        if not journey.maybe_ran:
+            return self._not_run(journey, refusal)
+        status = HTTPStatus.BAD_GATEWAY
+        if journey.last_failure is FailureKind.TIMED_OUT:
+            status = HTTPStatus.GATEWAY_TIMEOUT
+        self._note(journey, status, 'outcome unknown')
+        return self._own(journey.facts, status, 'the outcome is not known')
+
+    def _not_run(self, journey: Journey, refusal: Refusal | None) -> Response:
+        pause = REJECTED_PAUSE
+        reason = 'targets rejected it'
+        if refusal is not None:
+            pause = refusal.retry_after
+            reason = refusal.reason.value
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        self._note(journey, status, reason)
+        return self._own(journey.facts, status, reason, pause)
+
+    def _unmatched(self, facts: RequestFacts) -> Response:
+        view = self._parts.view
+        status = HTTPStatus.NOT_FOUND
+        pause = None
+        if not view.is_known:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            pause = NOT_READY_PAUSE
+        _log.info(
+            'request without a route',
+            request=facts.request_id,
+            host=facts.host,
+            path=facts.path,
+            desired_index=view.index,
+            status=int(status),
+        )
+        self._parts.metrics.count(
+            'plantainstand_entry_requests_total',
+            outcome='no route',
+        )
+        return self._own(facts, status, 'no route', pause)
+
+    def _own(
+        self,
+        facts: RequestFacts | None,
+        status: HTTPStatus,
+        reason: str,
+        pause: timedelta | None = None,
+    ) -> Response:
+        request_id = b'' if facts is None else facts.request_id
+        headers = self._dialect.refusal_headers(request_id, pause)
+        return Response(status, headers, reason.encode())
+
+    def _note(self, journey: Journey, status: int, outcome: str) -> None:
+        now = self._clock.monotonic()
+        parts = self._parts
+        duration = now - journey.request.received_at
+        parts.metrics.count(
+            'plantainstand_entry_requests_total',
+            outcome=outcome,
+        )
+        parts.metrics.observe(
+            'plantainstand_entry_request_seconds',
+            duration.total_seconds(),
+            service=journey.service,
+        )
+        _log.info(
+            'request',
+            request=journey.facts.request_id,
+            route=journey.match.name,
+            route_version=journey.match.version,
+            desired_index=parts.view.index,
+            list_age_s=round(parts.board.age(now).total_seconds(), 2),
+            service=journey.service,
+            target=journey.last_target,
+            sends=journey.sends,
+            maybe_ran=journey.maybe_ran,
+            status=int(status),
+            outcome=outcome,
+            ms=round(duration / timedelta(milliseconds=1)),
+        )
--- /dev/null
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -0,0 +1,29 @@
+"""Messages between entry VMs and control VMs."""
+
+from plantainstand_fleet._messages import (
+    DesiredUpdate,
+    EntryReport,
+    FleetMessage,
+    Hello,
+    ReplicaMessage,
+    Roster,
+    TargetEntry,
+    TargetUpdate,
+    VmRole,
+    decode_fleet_message,
+    encode_fleet_message,
+)
+
+__all__ = (
+    'DesiredUpdate',
+    'EntryReport',
+    'FleetMessage',
+    'Hello',
+    'ReplicaMessage',
+    'Roster',
+    'TargetEntry',
+    'TargetUpdate',
+    'VmRole',
+    'decode_fleet_message',
+    'encode_fleet_message',
+)
--- /dev/null
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -0,0 +1,153 @@
+"""Requests and responses as values."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+
+import msgspec
+
+Headers = tuple[tuple[bytes, bytes], ...]
+"""Names in lower case, with their values, in the order of arrival."""
+
+_HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+_BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request that was read whole."""
+
+    method: bytes
+    """Method, in capitals."""
+
+    target: bytes
+    """Path and query as sent."""
+
+    headers: Headers
+    """Header fields as sent."""
+
+    body: bytes
+    """Body without its transfer coding."""
+
+    received_at: timedelta
+    """Monotonic time at which the headers were complete."""
+
+    @property
+    def path(self) -> bytes:
+        """Return the target without its query."""
+        return self.target.partition(b'?')[0]
+
+    @property
+    def query(self) -> bytes:
+        """Return the query without its question mark."""
+        return self.target.partition(b'?')[2]
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    """Status code."""
+
+    headers: Headers = ()
+    """Header fields, without those that frame the body."""
+
+    body: bytes = b''
+    """Body without a transfer coding."""
+
+    close: bool = False
+    """Whether the connection ends after this response."""
+
+
+def header_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, by its lower-case name."""
+    for header, content in headers:
+        if header == name:
+            return content
+    return None
+
+
+def json_response(status: int, document: object) -> Response:
+    """Return a response with a JSON body."""
+    headers = ((b'content-type', b'application/json'),)
+    return Response(status, headers, msgspec.json.encode(document))
+
+
+def end_to_end_headers(headers: Headers, extra: Collection[bytes]) -> Headers:
+    """Leave out the headers of one connection and those in ``extra``."""
+    named = header_value(headers, b'connection') or b''
+    dropped = {name.strip().lower() for name in named.split(b',')}
+    dropped.update(extra)
+    return tuple(
+        (name, content)
+        for name, content in headers
+        if name not in _HOP_BY_HOP and name not in dropped
+    )
+
+
+def encode_request(request: Request, added: Headers) -> bytes:
+    """Return the bytes that pass a request on, with headers added.
+
+    An added header replaces one of the client's with the same name.
+    """
+    replaced = {name for name, _content in added}
+    lines = [request.method + b' ' + request.target + b' HTTP/1.1']
+    kept = end_to_end_headers(request.headers, replaced)
+    lines.extend(name + b': ' + content for name, content in (*kept, *added))
+    if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'content-length: %d' % len(request.body))
+    lines.extend((b'', request.body))
+    return b'\r\n'.join(lines)
+
+
+def encode_response(
+    response: Response,
+    *,
+    close: bool,
+    head_only: bool,
+) -> bytes:
+    """Return the bytes of a response."""
+    status = response.status
+    lines = [b'HTTP/1.1 %d %s' % (status, _reason(status))]
+    lines.extend(
+        name + b': ' + content
+        for name, content in end_to_end_headers(response.headers, ())
+    )
+    if status not in _BODILESS_STATUSES:
+        length = _body_length(response, head_only=head_only)
+        lines.append(b'content-length: ' + length)
+    if close:
+        lines.append(b'connection: close')
+    lines.extend((b'', b'' if head_only else response.body))
+    return b'\r\n'.join(lines)
+
+
+def _body_length(response: Response, *, head_only: bool) -> bytes:
+    # The answer to HEAD states the length that GET would have.
+    stated = header_value(response.headers, b'content-length')
+    if head_only and stated is not None:
+        return stated
+    return b'%d' % len(response.body)
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
--- /dev/null
+++ b/libraries/links/plantainstand_links/_outgoing.py
@@ -0,0 +1,78 @@
+"""A link that is opened again whenever it is lost."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+from plantainstand_core import Clock
+
+from plantainstand_links._link import Link, LinkEvents, LinkTimes
+
+_log = structlog.get_logger()
+
+
+class OutgoingLink:
+    """Keeps one connection to an address."""
+
+    def __init__(
+        self,
+        address: str,
+        events: LinkEvents,
+        clock: Clock,
+        times: LinkTimes,
+    ):
+        """Know the address; :meth:`run` connects."""
+        self.address = address
+        self._events = events
+        self._clock = clock
+        self._times = times
+        self._link: Link | None = None
+        self._reachable = True
+
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can be sent."""
+        return self._link is not None and self._link.is_open
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame, or drop it while there is no connection."""
+        if self._link is not None:
+            self._link.send(frame)
+
+    async def run(self) -> None:
+        """Connect, wait for the end, and again, until cancelled."""
+        try:
+            while True:
+                await self._connect_once()
+                await asyncio.sleep(self._times.retry_pause.total_seconds())
+        finally:
+            if self._link is not None:
+                self._link.abort()
+
+    async def _connect_once(self) -> None:
+        host, _colon, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(
+                self._times.connect_timeout.total_seconds(),
+            ):
+                _transport, link = await loop.create_connection(
+                    self._new_link(),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as problem:
+            self._note_reachable(False, repr(problem))
+            return
+        self._link = link
+        self._note_reachable(True, '')
+        await link.closed
+
+    def _new_link(self) -> Callable[[], Link]:
+        return lambda: Link(self._events, self._clock, self._times)
+
+    def _note_reachable(self, reachable: bool, cause: str) -> None:
+        if reachable != self._reachable:
+            self._reachable = reachable
+            event = 'peer reachable again' if reachable else 'peer unreachable'
+            _log.info(event, peer=self.address, cause=cause)
--- /dev/null
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -0,0 +1,139 @@
+"""Targets by service, merged from what several control VMs saw."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from plantainstand_core import ServiceId, TargetId, VmId
+from plantainstand_fleet import TargetEntry, TargetUpdate
+
+from plantainstand_placement._target import TargetState
+
+_NEVER = timedelta.min
+
+REAPPEARANCE_COLD = timedelta(seconds=4)
+"""How long a target counts as cold after it came, before the platform's
+list can be trusted to say so: its lag and one polling interval above the
+usual cold start."""
+
+
+class _Observation:
+    """The platform's list as one control VM saw it."""
+
+    def __init__(self) -> None:
+        self.entries: dict[TargetId, TargetEntry] = {}
+        self.seen_at = _NEVER
+
+    def take(self, update: TargetUpdate, now: timedelta) -> None:
+        """Carry out an update."""
+        if update.full:
+            self.entries = {}
+        self.entries.update((each.target, each) for each in update.present)
+        for target in update.gone:
+            self.entries.pop(target, None)
+        self.seen_at = now - timedelta(seconds=update.age_seconds)
+
+
+class TargetBoard:
+    """Current targets of each service, with their state.
+
+    Presence follows the newest observation. Draining holds as soon as any
+    control VM has seen it, since a leaving target never comes back under the
+    same start.
+    """
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self._observations: dict[VmId, _Observation] = {}
+        self._states: dict[TargetId, TargetState] = {}
+        self._by_service: dict[ServiceId, list[TargetState]] = {}
+        self._first_seen_at: timedelta | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the platform's list has arrived."""
+        return bool(self._states)
+
+    @property
+    def states(self) -> Sequence[TargetState]:
+        """All targets."""
+        return tuple(self._states.values())
+
+    def targets_of(self, service: ServiceId) -> Sequence[TargetState]:
+        """Return a service's targets that are not leaving."""
+        return self._by_service.get(service, ())
+
+    def age(self, now: timedelta) -> timedelta:
+        """Return the age of the newest observation."""
+        newest = self._newest()
+        return timedelta.max if newest is None else now - newest.seen_at
+
+    def update(self, source: VmId, update: TargetUpdate, now: timedelta) -> None:
+        """Take what a control VM saw."""
+        observation = self._observations.setdefault(source, _Observation())
+        observation.take(update, now)
+        self._rebuild(now)
+
+    def forget_source(self, source: VmId) -> None:
+        """Drop a control VM's observation, unless it is the only one."""
+        if len(self._observations) > 1:
+            self._observations.pop(source, None)
+
+    def mark_cold(self, states: Sequence[TargetState], until: timedelta) -> None:
+        """Treat targets as cold, for example after an evacuation."""
+        for state in states:
+            state.cold_until = max(state.cold_until, until)
+
+    def _newest(self) -> _Observation | None:
+        return max(
+            self._observations.values(),
+            key=lambda observation: observation.seen_at,
+            default=None,
+        )
+
+    def _rebuild(self, now: timedelta) -> None:
+        newest = self._newest()
+        if newest is None:
+            return
+        if self._first_seen_at is None and newest.entries:
+            self._first_seen_at = now
+        states = {
+            target: self._state_of(entry, newest.seen_at, now)
+            for target, entry in newest.entries.items()
+        }
+        self._states = states
+        self._by_service = {}
+        for state in states.values():
+            if not self._is_draining(state.entry):
+                service = state.entry.service
+                self._by_service.setdefault(service, []).append(state)
+
+    def _state_of(
+        self,
+        entry: TargetEntry,
+        seen_at: timedelta,
+        now: timedelta,
+    ) -> TargetState:
+        state = self._states.get(entry.target)
+        if state is None or _is_another_start(state.entry, entry):
+            state = TargetState(entry, now)
+            # Targets of the first list started before traffic and are warm.
+            if self._first_seen_at is not None and self._first_seen_at < now:
+                state.cold_until = now + REAPPEARANCE_COLD
+        state.entry = entry
+        if entry.cold_seconds > 0:
+            cold = timedelta(seconds=entry.cold_seconds)
+            state.cold_until = max(state.cold_until, seen_at + cold)
+        return state
+
+    def _is_draining(self, entry: TargetEntry) -> bool:
+        for observation in self._observations.values():
+            seen = observation.entries.get(entry.target)
+            same = seen is not None and not _is_another_start(seen, entry)
+            if same and seen is not None and seen.draining:
+                return True
+        return entry.draining
+
+
+def _is_another_start(known: TargetEntry, entry: TargetEntry) -> bool:
+    places = (known.address, known.service, known.started_ms)
+    return places != (entry.address, entry.service, entry.started_ms)
--- /dev/null
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -0,0 +1,163 @@
+"""Which target a request goes to, or why it is refused at once.
+
+Load pattern answered: objects are asked for again and again, and a target
+that served an object lately is several times faster with it. Each object has
+a fixed order of targets (weighted rendezvous hashing), so that all entry VMs
+send it to the same one; the next in order is used when the first has no free
+slot. The order doesn't depend on load, so the shares of the regions stay as
+they are while traffic rises, falls and moves.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+import xxhash
+from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
+
+from plantainstand_placement._target import TargetState
+
+OWN_REGION_WEIGHT = 3
+"""How much more a target of the own region gets than one elsewhere: two
+thirds stay where three regions have equal slots, and a region with few slots
+still gets help."""
+
+_HASH_SPAN = 2**64
+
+FREE_SLOT_MARGIN = 0.5
+"""Part of a slot that must be free: loads of other VMs are estimates."""
+
+RETRY_AFTER_MIN = timedelta(milliseconds=100)
+"""Shortest time after which a refused request is worth another try."""
+
+RETRY_AFTER_MAX = timedelta(seconds=1)
+"""Longest such time; estimates further ahead are guesses."""
+
+
+class RefusalReason(Enum):
+    """Why no target is chosen."""
+
+    NO_TARGET = 'no target'
+    """No target of the service may be used."""
+
+    NO_CAPACITY = 'no capacity'
+    """All would answer too late."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The request is not sent."""
+
+    reason: RefusalReason
+    retry_after: timedelta
+    """When there may be room."""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The request goes to a target."""
+
+    state: TargetState
+    rank: int
+    """Position in the object's order of targets; 0 is the first."""
+
+    expected_wait: timedelta
+    """Estimated time in the target's queue."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks for."""
+
+    object_key: bytes
+    """Requests with the same key concern the same object."""
+
+    region: RegionId
+    """Region of the entry VM."""
+
+    homes: tuple[RegionId, ...]
+    """Regions that may serve it; empty for all."""
+
+    longest_wait: timedelta
+    """Longest time in a queue with which the answer is still of use."""
+
+    cold_limit: int
+    """Requests that this VM may send to one cold target in a second."""
+
+    evacuating: frozenset[AvailabilityZoneId] = frozenset()
+    """Availability zones whose targets get nothing."""
+
+    tried: frozenset[TargetId] = field(default_factory=frozenset)
+    """Targets that have failed this request."""
+
+
+def choose_target(
+    demand: Demand,
+    states: Sequence[TargetState],
+    service_time: timedelta,
+    now: timedelta,
+) -> Choice | Refusal:
+    """Choose among a service's targets."""
+    allowed = [state for state in states if _is_allowed(state, demand, now)]
+    if not allowed:
+        return Refusal(RefusalReason.NO_TARGET, RETRY_AFTER_MAX / 2)
+    ordered = sorted(
+        allowed,
+        key=lambda state: _order_key(state, demand, service_time, now),
+    )
+    for rank, state in enumerate(ordered):
+        if _expected_wait(state, service_time, now) <= timedelta():
+            return Choice(state, rank, timedelta())
+    rank, least = min(
+        enumerate(ordered),
+        key=lambda ranked: _expected_wait(ranked[1], service_time, now),
+    )
+    wait = _expected_wait(least, service_time, now)
+    if wait > demand.longest_wait:
+        pause = min(max(wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
+        return Refusal(RefusalReason.NO_CAPACITY, pause)
+    return Choice(least, rank, wait)
+
+
+def _is_allowed(state: TargetState, demand: Demand, now: timedelta) -> bool:
+    entry = state.entry
+    if entry.target in demand.tried or entry.zone in demand.evacuating:
+        return False
+    if demand.homes and entry.region not in demand.homes:
+        return False
+    if state.is_cold(now) and not state.gate.admits(now, demand.cold_limit):
+        return False
+    return not state.is_suspect(now)
+
+
+def _order_key(
+    state: TargetState,
+    demand: Demand,
+    service_time: timedelta,
+    now: timedelta,
+) -> tuple[bool, float]:
+    entry = state.entry
+    weight = max(1, entry.slots)
+    if entry.region == demand.region:
+        weight *= OWN_REGION_WEIGHT
+    digest = xxhash.xxh64_intdigest(demand.object_key, entry_seed(entry.target))
+    position = (digest + 1) / (_HASH_SPAN + 1)
+    failing = state.is_failing(now, service_time)
+    return (failing, -math.log(position) / weight)
+
+
+def entry_seed(target: TargetId) -> int:
+    """Return a target's seed for the hash of an object."""
+    return xxhash.xxh32_intdigest(target)
+
+
+def _expected_wait(
+    state: TargetState,
+    service_time: timedelta,
+    now: timedelta,
+) -> timedelta:
+    slots = max(1, state.entry.slots)
+    ahead = state.load(now) + FREE_SLOT_MARGIN - slots
+    return max(timedelta(), service_time * (ahead / slots))
--- /dev/null
+++ b/libraries/placement/plantainstand_placement/_split.py
@@ -0,0 +1,42 @@
+"""Distributes a route's requests among its services by weight."""
+
+from plantainstand_core import ServiceId
+from plantainstand_desired import RouteMatch
+
+
+class TrafficSplitter:
+    """Smooth weighted round robin for each route.
+
+    Shares are met within one request per part in any sequence, which random
+    draws would only do on average.
+    """
+
+    def __init__(self) -> None:
+        """Start without history."""
+        self._credits: dict[tuple[str, int], dict[ServiceId, float]] = {}
+
+    def pick(self, match: RouteMatch) -> ServiceId:
+        """Return the service of the route's next request."""
+        parts = match.route.parts
+        if len(parts) == 1:
+            return parts[0].service
+        credits_of = self._credits_of(match)
+        for part in parts:
+            credits_of[part.service] += part.weight
+        chosen = max(credits_of, key=credits_of.__getitem__)
+        credits_of[chosen] -= sum(part.weight for part in parts)
+        return chosen
+
+    def _credits_of(self, match: RouteMatch) -> dict[ServiceId, float]:
+        key = (match.name, match.version)
+        if key not in self._credits:
+            # History of an older version has other weights.
+            self._credits = {
+                other: held
+                for other, held in self._credits.items()
+                if other[0] != match.name
+            }
+            self._credits[key] = {
+                part.service: float(0) for part in match.route.parts
+            }
+        return self._credits[key]
--- a/libraries/telemetry/plantainstand_telemetry/__init__.py
+++ b/libraries/telemetry/plantainstand_telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Logs, metrics and traces of the plantainstand processes."""
 
+from plantainstand_telemetry._bounded_output import BoundedLogOutput
 from plantainstand_telemetry._logs import LogFormat, LogLevel, configure_logs
 from plantainstand_telemetry._metrics import Metrics
 from plantainstand_telemetry._traces import (
@@ -10,6 +11,7 @@
 )
 
 __all__ = (
+    'BoundedLogOutput',
     'LogFormat',
     'LogLevel',
     'Metrics',
--- a/libraries/telemetry/plantainstand_telemetry/_logs.py
+++ b/libraries/telemetry/plantainstand_telemetry/_logs.py
@@ -3,9 +3,13 @@
 import logging
 import sys
 from enum import Enum
+from typing import TextIO
 
+import msgspec
 import structlog
 
+from plantainstand_telemetry._bounded_output import BoundedLogOutput
+
 
 class LogFormat(Enum):
     """How log lines are written."""
@@ -23,11 +27,15 @@
     ERROR = 'error'
 
 
-def configure_logs(log_format: LogFormat, level: LogLevel) -> None:
-    """Send the log lines of the process to standard error."""
+def configure_logs(
+    log_format: LogFormat,
+    level: LogLevel,
+    output: TextIO | BoundedLogOutput | None = None,
+) -> None:
+    """Send the log lines of the process to ``output``, or standard error."""
     renderer: structlog.typing.Processor = structlog.dev.ConsoleRenderer()
     if log_format is LogFormat.JSON:
-        renderer = structlog.processors.JSONRenderer()
+        renderer = structlog.processors.JSONRenderer(_encode_line)
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -39,5 +47,13 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.name],
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(
+            # structlog only calls write and flush.
+            output or sys.stderr,  # type: ignore[arg-type]
+        ),
+        cache_logger_on_first_use=output is not None,
     )
+
+
+def _encode_line(event: object, **_options: object) -> str:
+    return msgspec.json.encode(event, enc_hook=str).decode()
