--- a/libraries/edge/plantainstand_edge/_dialect.py
+++ b/libraries/edge/plantainstand_edge/_dialect.py
@@ -28,6 +28,11 @@
     patience: timedelta | None
     """How long the client waits, if stated."""
 
+    @property
+    def log_id(self) -> str:
+        """Return the request id as text."""
+        return self.request_id.decode('latin-1')
+
 
 @dataclass(frozen=True, slots=True)
 class TargetVerdict:
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -252,7 +252,7 @@
             choice.state.broke(now)
         _log.info(
             'attempt failed',
-            request=journey.facts.request_id,
+            request=journey.facts.log_id,
             target=choice.state.entry.target,
             failure=failure.kind.value,
             detail=failure.detail,
@@ -309,7 +309,7 @@
             pause = NOT_READY_PAUSE
         _log.info(
             'request without a route',
-            request=facts.request_id,
+            request=facts.log_id,
             host=facts.host,
             path=facts.path,
             desired_index=view.index,
@@ -347,7 +347,7 @@
         )
         _log.info(
             'request',
-            request=journey.facts.request_id,
+            request=journey.facts.log_id,
             route=journey.match.name,
             route_version=journey.match.version,
             desired_index=parts.view.index,
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -286,7 +286,7 @@
         except Exception:
             # One request must not end the process: the fault is logged with
             # its trace and answered without a promise.
-            _log.exception('request handler failed', path=request.path)
+            _log.exception('request handler failed', path=str(request.path))
             return Response(HTTPStatus.INTERNAL_SERVER_ERROR, close=True)
 
     def _send(self, request: Request, response: Response) -> None:
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -142,17 +142,12 @@
     weight = max(1, entry.slots)
     if entry.region == demand.region:
         weight *= OWN_REGION_WEIGHT
-    digest = xxhash.xxh64_intdigest(demand.object_key, entry_seed(entry.target))
+    digest = xxhash.xxh64_intdigest(demand.object_key, state.order_seed)
     position = (digest + 1) / (_HASH_SPAN + 1)
     failing = state.is_failing(now, service_time)
     return (failing, -math.log(position) / weight)
 
 
-def entry_seed(target: TargetId) -> int:
-    """Return a target's seed for the hash of an object."""
-    return xxhash.xxh32_intdigest(target)
-
-
 def _expected_wait(
     state: TargetState,
     service_time: timedelta,
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import xxhash
 from plantainstand_fleet import TargetEntry
 
 from plantainstand_placement._cold import ColdGate
@@ -52,6 +53,7 @@
     def __init__(self, entry: TargetEntry, now: timedelta):
         """Start without requests."""
         self.entry = entry
+        self.order_seed = xxhash.xxh32_intdigest(entry.target.encode())
         self.in_flight = 0
         self.cold_until = _NEVER
         self.gate = ColdGate()
