Refuse early what a request's preferred targets would answer too late

Cold work of 480 ms needs 218 of 126 slots; requests waited in the targets' queues until the route timeout of 800 ms, their work was cut, and objects never became warm. Ruled out: lack of capacity (warm work needs half of the slots). Change: only the first four targets of an object's order are considered, their loads are remembered for 1.5 s instead of 0.5 s, and the usual service time no longer contains the expected wait.

--- a/libraries/edge/plantainstand_edge/_service_times.py
+++ b/libraries/edge/plantainstand_edge/_service_times.py
@@ -25,4 +25,5 @@
     def note(self, service: ServiceId, duration: timedelta) -> None:
         """Take the time that an answer took."""
         known = self.of(service)
+        duration = max(duration, timedelta(milliseconds=1))
         self._times[service] = known + (duration - known) * NEWEST_WEIGHT
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -231,7 +231,8 @@
             journey.last_answer = answer
             return None
         if not failed:
-            self._times.note(journey.service, now - started)
+            waited = choice.expected_wait
+            self._times.note(journey.service, now - started - waited)
         self._note(journey, answer.status, 'answered')
         return Response(answer.status, answer.headers, answer.body)
 
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -3,9 +3,14 @@
 Load pattern answered: objects are asked for again and again, and a target
 that served an object lately is several times faster with it. Each object has
 a fixed order of targets (weighted rendezvous hashing), so that all entry VMs
-send it to the same one; the next in order is used when the first has no free
-slot. The order doesn't depend on load, so the shares of the regions stay as
+send it to the same one; the next in order is used when the first would make it
+wait. The order doesn't depend on load, so the shares of the regions stay as
 they are while traffic rises, falls and moves.
+
+When arrivals pass what the targets can run, requests that wait in their queues
+are cut at the timeout: their work is lost and their objects never become fast
+to serve, so the overload outlasts its cause. A request is therefore refused as
+soon as the few targets of its object would answer after the objective.
 """
 
 import math
@@ -26,6 +31,14 @@
 
 _HASH_SPAN = 2**64
 
+PREFERRED_TARGETS = 4
+"""Targets of an object's order that are considered. Each further one would
+have to become fast for the object first, which costs several runs."""
+
+PATIENCE_SHARE = 0.3
+"""Part of the usual service time for which a request rather waits at an
+earlier target than runs at a later one."""
+
 FREE_SLOT_MARGIN = 0.5
 """Part of a slot that must be free: loads of other VMs are estimates."""
 
@@ -107,18 +120,23 @@
         allowed,
         key=lambda state: _order_key(state, demand, service_time, now),
     )
-    for rank, state in enumerate(ordered):
-        if _expected_wait(state, service_time, now) <= timedelta():
-            return Choice(state, rank, timedelta())
-    rank, least = min(
-        enumerate(ordered),
-        key=lambda ranked: _expected_wait(ranked[1], service_time, now),
-    )
-    wait = _expected_wait(least, service_time, now)
+    waits = [
+        _expected_wait(state, service_time, now)
+        for state in ordered[:PREFERRED_TARGETS]
+    ]
+    rank = _best_rank(waits, service_time * PATIENCE_SHARE)
+    wait = waits[rank]
     if wait > demand.longest_wait:
         pause = min(max(wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
         return Refusal(RefusalReason.NO_CAPACITY, pause)
-    return Choice(least, rank, wait)
+    return Choice(ordered[rank], rank, wait)
+
+
+def _best_rank(waits: Sequence[timedelta], patience: timedelta) -> int:
+    for rank, wait in enumerate(waits):
+        if wait <= patience:
+            return rank
+    return waits.index(min(waits))
 
 
 def _is_allowed(state: TargetState, demand: Demand, now: timedelta) -> bool:
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -10,8 +10,10 @@
 
 _NEVER = timedelta.min
 
-REPORT_HALF_LIFE = timedelta(milliseconds=500)
-"""Age at which a report of other VMs' load counts half."""
+REPORT_HALF_LIFE = timedelta(milliseconds=1500)
+"""Age at which a report of other VMs' load counts half. Shorter than a second
+it is forgotten between two answers of a busy target, and all VMs send at
+once."""
 
 FAILURE_WEIGHT = 0.15
 """Weight of the newest result in the moving failure rate."""
