Spread an object to a later target only if that one has room

While all targets are busy, each spill made another target run the object cold (480 ms instead of 144 ms), which kept all of them busy. Objects belong to one region each, so a region's weight adds no targets to an object. Change: a later target is used only below half of its slots; the first one is kept up to a wait of 0.6 of the usual service time.

--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -41,6 +41,11 @@
 
     last_failure: FailureKind | None = None
     last_target: TargetId | None = None
+    last_rank: int | None = None
+    """Position of the last target in the object's order."""
+
+    last_expected_wait: timedelta = timedelta()
+    """Wait that was expected at the last target."""
 
     @property
     def may_run_again(self) -> bool:
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -184,6 +184,8 @@
         state = choice.state
         target = state.entry.target
         journey.last_target = target
+        journey.last_rank = choice.rank
+        journey.last_expected_wait = choice.expected_wait
         journey.tried.add(target)
         payload = encode_request(
             journey.request,
@@ -354,10 +356,22 @@
             desired_index=parts.view.index,
             list_age_s=round(parts.board.age(now).total_seconds(), 2),
             service=journey.service,
+            object=_as_text(journey.facts.object_key),
             target=journey.last_target,
+            target_rank=journey.last_rank,
+            expected_wait_ms=_milliseconds(journey.last_expected_wait),
+            service_time_ms=_milliseconds(self._times.of(journey.service)),
             sends=journey.sends,
             maybe_ran=journey.maybe_ran,
             status=int(status),
             outcome=outcome,
-            ms=round(duration / timedelta(milliseconds=1)),
+            ms=_milliseconds(duration),
         )
+
+
+def _milliseconds(duration: timedelta) -> int:
+    return round(duration / timedelta(milliseconds=1))
+
+
+def _as_text(object_key: bytes | None) -> str | None:
+    return None if object_key is None else object_key.decode('latin-1')
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -35,10 +35,14 @@
 """Targets of an object's order that are considered. Each further one would
 have to become fast for the object first, which costs several runs."""
 
-PATIENCE_SHARE = 0.3
+PATIENCE_SHARE = 0.6
 """Part of the usual service time for which a request rather waits at an
 earlier target than runs at a later one."""
 
+SPARE_LOAD_SHARE = 0.5
+"""Load, relative to its slots, up to which a later target takes over. When
+all are busy, spreading objects over more targets only makes each run slow."""
+
 FREE_SLOT_MARGIN = 0.5
 """Part of a slot that must be free: loads of other VMs are estimates."""
 
@@ -120,23 +124,26 @@
         allowed,
         key=lambda state: _order_key(state, demand, service_time, now),
     )
-    waits = [
-        _expected_wait(state, service_time, now)
-        for state in ordered[:PREFERRED_TARGETS]
-    ]
-    rank = _best_rank(waits, service_time * PATIENCE_SHARE)
-    wait = waits[rank]
+    rank = _best_rank(ordered, service_time, now)
+    wait = _expected_wait(ordered[rank], service_time, now)
     if wait > demand.longest_wait:
         pause = min(max(wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
         return Refusal(RefusalReason.NO_CAPACITY, pause)
     return Choice(ordered[rank], rank, wait)
 
 
-def _best_rank(waits: Sequence[timedelta], patience: timedelta) -> int:
-    for rank, wait in enumerate(waits):
-        if wait <= patience:
+def _best_rank(
+    ordered: Sequence[TargetState],
+    service_time: timedelta,
+    now: timedelta,
+) -> int:
+    patience = service_time * PATIENCE_SHARE
+    if _expected_wait(ordered[0], service_time, now) <= patience:
+        return 0
+    for rank, state in enumerate(ordered[1:PREFERRED_TARGETS], start=1):
+        if state.load(now) <= state.entry.slots * SPARE_LOAD_SHARE:
             return rank
-    return waits.index(min(waits))
+    return 0
 
 
 def _is_allowed(state: TargetState, demand: Demand, now: timedelta) -> bool:
