--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -35,7 +35,7 @@
 """Targets of an object's order that are considered. Each further one would
 have to become fast for the object first, which costs several runs."""
 
-PATIENCE_SHARE = 0.6
+PATIENCE_SHARE = 1.0
 """Part of the usual service time for which a request rather waits at an
 earlier target than runs at a later one."""
 
