--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check --quiet .
-	$(BIN)/flake8 libraries bench tests
-	$(BIN)/mypy $(foreach package,$(PACKAGES),$(wildcard $(package)/plantainstand_*)) tests
+	$(BIN)/flake8 libraries platform bench tests
+	MYPYPATH=platform $(BIN)/mypy $(foreach package,$(PACKAGES),$(wildcard $(package)/plantainstand_*)) platform/plantainstand_platform tests
 
 format: setup
 	$(BIN)/ruff check --quiet --fix .
--- a/libraries/consensus/plantainstand_consensus/_core.py
+++ b/libraries/consensus/plantainstand_consensus/_core.py
@@ -149,9 +149,9 @@
             Configuration(tuple(members), current.voters, current.formed),
         )
 
-    def set_peers(self, peers: Sequence[VmId]) -> None:
+    def replace_peers(self, peers: Sequence[VmId]) -> None:
         """Set the VMs to ask while this disk is no voter."""
-        self._joining.set_peers(peers)
+        self._joining.replace_peers(peers)
 
     def synced(self, sequence: int) -> None:
         """Note that the writes through a batch are durable."""
--- a/libraries/consensus/plantainstand_consensus/_joining.py
+++ b/libraries/consensus/plantainstand_consensus/_joining.py
@@ -45,7 +45,7 @@
         first = self._founding_members[:1] == (self._state.node.vm,)
         return first and self._state.is_blank and not self._found_data
 
-    def set_peers(self, peers: Sequence[VmId]) -> None:
+    def replace_peers(self, peers: Sequence[VmId]) -> None:
         """Replace the VMs to ask; only the leader admits a disk."""
         own = self._state.node.vm
         self._peers = [peer for peer in peers if peer != own]
--- a/libraries/consensus/plantainstand_consensus/_replica.py
+++ b/libraries/consensus/plantainstand_consensus/_replica.py
@@ -127,9 +127,9 @@
         outcome = await self._outcome(accepted, timeout)
         return outcome.map(_nothing)
 
-    def set_peers(self, peers: Sequence[VmId]) -> None:
+    def replace_peers(self, peers: Sequence[VmId]) -> None:
         """Set the VMs to ask for admission while this disk is no voter."""
-        self._core.set_peers(peers)
+        self._core.replace_peers(peers)
 
     async def read_barrier(
         self,
--- a/libraries/control/plantainstand_control/_members.py
+++ b/libraries/control/plantainstand_control/_members.py
@@ -34,9 +34,18 @@
     silent = [vm for vm in facts.members if vm not in facts.live]
     spare = sorted(set(facts.live) - set(kept))
     while len(kept) < wanted and spare:
-        used = Counter(facts.live[vm] for vm in kept)
-        chosen = min(spare, key=lambda vm: (used[facts.live[vm]], vm))
+        chosen = _most_spread(spare, kept, facts.live)
         spare.remove(chosen)
         kept.append(chosen)
     missing = max(0, max(wanted, len(facts.members)) - len(kept))
     return tuple(sorted((*kept, *silent[:missing])))
+
+
+def _most_spread(
+    spare: Sequence[VmId],
+    kept: Sequence[VmId],
+    regions: Mapping[VmId, RegionId],
+) -> VmId:
+    """Return a spare VM of the region with the fewest voters."""
+    used = Counter(regions[vm] for vm in kept)
+    return min(spare, key=lambda vm: (used[regions[vm]], vm))
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -1,11 +1,12 @@
 """The control role as a process."""
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
+from types import MappingProxyType
 
 import structlog
 from plantainstand_consensus import decode_message
@@ -45,12 +46,14 @@
 CHANGE_TIMEOUT = timedelta(seconds=2)
 """Longest wait for a change of the members."""
 
-METRIC_HELP = {
-    'plantainstand_control_entries': 'Entry VMs that report.',
-    'plantainstand_control_peers': 'Live control VMs.',
-    'plantainstand_control_applied_index': 'Newest applied log index.',
-    'plantainstand_control_leading': 'Whether this VM leads the log.',
-}
+METRIC_HELP: Mapping[str, str] = MappingProxyType(
+    {
+        'plantainstand_control_entries': 'Entry VMs that report.',
+        'plantainstand_control_peers': 'Live control VMs.',
+        'plantainstand_control_applied_index': 'Newest applied log index.',
+        'plantainstand_control_leading': 'Whether this VM leads the log.',
+    },
+)
 
 
 @dataclass
@@ -84,7 +87,7 @@
         self._replicas = ReplicaRunner(settings, self._new_state, self._peers)
         self._poller = ListPoller(
             read_list,
-            self._is_polling,
+            lambda: self._replicas.may_lead,
             self._publish_targets,
             clock,
             settings.list_calls_per_second,
@@ -98,10 +101,10 @@
             lambda: self._state,
         )
 
-    def set_seeds(self, seeds: Collection[VmId]) -> None:
+    def replace_seeds(self, seeds: Collection[VmId]) -> None:
         """Use other control VMs to begin with."""
         _log.info('settings reloaded', seeds=list(seeds))
-        self._peers.set_seeds(seeds)
+        self._peers.replace_seeds(seeds)
 
     def entry_addresses(self, host: str, region: RegionId) -> Sequence[str]:
         """Return where a client of a region reaches a host."""
@@ -151,18 +154,12 @@
         self._publishing = PublishingState(self._state, self._schedule_publish)
         return self._publishing
 
-    def _is_polling(self) -> bool:
-        status = self._replicas.status
-        if status is None or status.leader is None:
-            return True
-        return status.leader == self._settings.vm
-
     async def _supervise_forever(self) -> None:
         while True:
             status = self._replicas.status
             members = () if status is None else status.members
             self._peers.adjust(members)
-            self._replicas.set_peers(self._peers.known)
+            self._replicas.replace_peers(self._peers.known)
             self._replicas.log_changes()
             self._send_rosters()
             await self._change_members()
@@ -301,15 +298,12 @@
     async def _answer_metrics(self, _request: Request) -> Response:
         status = self._replicas.status
         prefix = 'plantainstand_control_'
-        leading = status is not None and status.leader == self._settings.vm
         readings = {
             'entries': len(self._callers),
             'peers': len(self._peers.live()),
             'applied_index': self._publishing.index,
-            'leading': leading,
+            'leading': status is not None and self._replicas.may_lead,
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
         return Response(HTTPStatus.OK, (), self._metrics.render())
-
-
--- a/libraries/control/plantainstand_control/_peers.py
+++ b/libraries/control/plantainstand_control/_peers.py
@@ -61,7 +61,7 @@
             },
         }
 
-    def set_seeds(self, seeds: Collection[VmId]) -> None:
+    def replace_seeds(self, seeds: Collection[VmId]) -> None:
         """Look for other seeds."""
         self._seeds = tuple(seeds)
 
--- a/libraries/control/plantainstand_control/_replica.py
+++ b/libraries/control/plantainstand_control/_replica.py
@@ -56,6 +56,14 @@
         """State of the running replica."""
         return None if self._replica is None else self._replica.status()
 
+    @property
+    def may_lead(self) -> bool:
+        """Whether this VM leads, or knows of no leader."""
+        status = self.status
+        if status is None or status.leader is None:
+            return True
+        return status.leader == self._settings.vm
+
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
@@ -66,10 +74,10 @@
                 await self._run_replica(opened.ok_value)
             await asyncio.sleep(REOPEN_PAUSE.total_seconds())
 
-    def set_peers(self, peers: Sequence[VmId]) -> None:
+    def replace_peers(self, peers: Sequence[VmId]) -> None:
         """Set the VMs to ask for admission."""
         if self._replica is not None:
-            self._replica.set_peers(peers)
+            self._replica.replace_peers(peers)
 
     def log_changes(self) -> None:
         """Write a line when role, leader or voters changed."""
@@ -122,5 +130,3 @@
 def _is_known(formatted: Err[StorageProblem]) -> bool:
     """Tell whether the disk belongs to the log already."""
     return formatted.err_value.kind is StorageProblemKind.NOT_EMPTY
-
-
--- a/libraries/desired/plantainstand_desired/_rules.py
+++ b/libraries/desired/plantainstand_desired/_rules.py
@@ -34,8 +34,9 @@
             if service is None or service.body is None:
                 return f'route {name} names unknown service {part.service}'
         place = (route.host.lower(), route.path_prefix)
-        if place in places:
-            return f'routes {places[place]} and {name} share a prefix'
+        other = places.get(place)
+        if other is not None:
+            return f'routes {other} and {name} share a prefix'
         places[place] = name
     return None
 
--- a/libraries/desired/plantainstand_desired/_view.py
+++ b/libraries/desired/plantainstand_desired/_view.py
@@ -97,7 +97,7 @@
         changed = [each for each in items if self._is_newer(each)]
         for item in changed:
             self._items[item.key] = item
-        if any(item.kind is ItemKind.ROUTE for item in changed):
+        if ItemKind.ROUTE in {each.kind for each in changed}:
             self._index_routes()
         moved = [each for each in evacuations if self._is_later(each)]
         for order in moved:
@@ -126,10 +126,9 @@
             if isinstance(item.body, Route):
                 match = RouteMatch(item.name, item.version, item.body)
                 by_host.setdefault(item.body.host.lower(), []).append(match)
-        for matches in by_host.values():
-            matches.sort(key=_prefix_length, reverse=True)
         self._routes_by_host = {
-            host: tuple(matches) for host, matches in by_host.items()
+            host: tuple(sorted(found, key=_prefix_length, reverse=True))
+            for host, found in by_host.items()
         }
 
 
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -68,7 +68,7 @@
         """Number of control VMs that are connected."""
         return sum(link.is_open for link in self._links.values())
 
-    def set_seeds(self, seeds: Collection[VmId]) -> None:
+    def replace_seeds(self, seeds: Collection[VmId]) -> None:
         """Use other control VMs to begin with."""
         self._seeds = tuple(seeds)
         self._adjust()
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -1,10 +1,11 @@
 """The entry role as a process."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from contextlib import AsyncExitStack
 from datetime import timedelta
 from http import HTTPStatus
+from types import MappingProxyType
 
 import structlog
 from plantainstand_core import AvailabilityZoneId, Clock, VmId
@@ -49,14 +50,16 @@
 """Own idle timeout relative to the stated one, so that a client that keeps to
 it never meets a close."""
 
-METRIC_HELP = {
-    'plantainstand_entry_requests_total': 'Requests by outcome.',
-    'plantainstand_entry_request_seconds': 'Time to an answer, by service.',
-    'plantainstand_entry_connections_opened': 'Connections opened to targets.',
-    'plantainstand_entry_controls': 'Control VMs connected.',
-    'plantainstand_entry_list_age_seconds': 'Age of the target list.',
-    'plantainstand_entry_desired_index': 'Log index of the desired state.',
-}
+METRIC_HELP: Mapping[str, str] = MappingProxyType(
+    {
+        'plantainstand_entry_requests_total': 'Requests by outcome.',
+        'plantainstand_entry_request_seconds': 'Time to an answer, by service.',
+        'plantainstand_entry_connections_opened': 'Connections to targets.',
+        'plantainstand_entry_controls': 'Control VMs connected.',
+        'plantainstand_entry_list_age_seconds': 'Age of the target list.',
+        'plantainstand_entry_desired_index': 'Log index of the desired state.',
+    },
+)
 
 
 class EntryNode:
@@ -102,10 +105,10 @@
         known = self._view.is_known and self._board.is_known
         return known and not self._stopping
 
-    def set_seeds(self, seeds: Collection[VmId]) -> None:
+    def replace_seeds(self, seeds: Collection[VmId]) -> None:
         """Use other control VMs to begin with."""
         _log.info('settings reloaded', seeds=list(seeds))
-        self._links.set_seeds(seeds)
+        self._links.replace_seeds(seeds)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then leave gracefully."""
@@ -113,7 +116,7 @@
             stack.callback(self._pool.close)
             stack.callback(self._links.close)
             await self._listen(stack)
-            self._links.set_seeds(self._settings.seeds)
+            self._links.replace_seeds(self._settings.seeds)
             loop = asyncio.get_running_loop()
             reporting = loop.create_task(self._report_forever())
             stack.callback(reporting.cancel)
@@ -156,9 +159,7 @@
         self._server.close_idle()
         limit = self._settings.grace - EXIT_MARGIN
         await self._until(
-            lambda: (
-                not self._server.busy_count or self._since(began) > limit
-            ),
+            lambda: not self._server.busy_count or self._since(began) > limit,
         )
 
     def _since(self, moment: timedelta) -> timedelta:
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -102,12 +102,7 @@
 
 
 FleetMessage = (
-    Hello
-    | EntryReport
-    | TargetUpdate
-    | DesiredUpdate
-    | Roster
-    | ReplicaMessage
+    Hello | EntryReport | TargetUpdate | DesiredUpdate | Roster | ReplicaMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -89,8 +89,7 @@
         self._partial = _Partial()
         self._parser = httptools.HttpResponseParser(self)
         self._reusable = True
-        self._expected_id: bytes | None = None
-        self._id_header = b''
+        self._identity: tuple[bytes, bytes | None] = (b'', None)
         self._head_only = False
 
     @property
@@ -116,7 +115,7 @@
         """Send a request; the answer must echo the identity header."""
         assert self._transport is not None  # noqa: S101
         self._waiter = asyncio.get_running_loop().create_future()
-        self._id_header, self._expected_id = identity
+        self._identity = identity
         self._head_only = head_only
         self._partial = _Partial()
         self._transport.write(payload)
@@ -183,10 +182,11 @@
             self._finish()
 
     def _is_foreign(self) -> bool:
-        if self._expected_id is None:
+        name, expected = self._identity
+        if expected is None:
             return False
-        echoed = header_value(tuple(self._partial.headers), self._id_header)
-        return echoed is not None and echoed != self._expected_id
+        echoed = header_value(tuple(self._partial.headers), name)
+        return echoed is not None and echoed != expected
 
     def _is_framed(self) -> bool:
         names = {name for name, _content in self._partial.headers}
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -47,6 +47,12 @@
     received_at: timedelta
     """Monotonic time at which the headers were complete."""
 
+    @property
+    def head_bytes(self) -> int:
+        """Return the size of target and headers."""
+        sizes = (len(name) + len(content) for name, content in self.headers)
+        return len(self.target) + sum(sizes)
+
     @property
     def path(self) -> bytes:
         """Return the target without its query."""
@@ -107,9 +113,9 @@
     An added header replaces one of the client's with the same name.
     """
     replaced = {name for name, _content in added}
-    lines = [request.method + b' ' + request.target + b' HTTP/1.1']
+    lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
     kept = end_to_end_headers(request.headers, replaced)
-    lines.extend(name + b': ' + content for name, content in (*kept, *added))
+    lines.extend(b'%s: %s' % header for header in (*kept, *added))
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'content-length: %d' % len(request.body))
     lines.extend((b'', request.body))
@@ -125,13 +131,11 @@
     """Return the bytes of a response."""
     status = response.status
     lines = [b'HTTP/1.1 %d %s' % (status, _reason(status))]
-    lines.extend(
-        name + b': ' + content
-        for name, content in end_to_end_headers(response.headers, ())
-    )
+    kept = end_to_end_headers(response.headers, ())
+    lines.extend(b'%s: %s' % header for header in kept)
     if status not in _BODILESS_STATUSES:
         length = _body_length(response, head_only=head_only)
-        lines.append(b'content-length: ' + length)
+        lines.append(b'content-length: %s' % length)
     if close:
         lines.append(b'connection: close')
     lines.extend((b'', b'' if head_only else response.body))
--- /dev/null
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -0,0 +1,91 @@
+"""Reads requests from the bytes of one connection."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import httptools
+from plantainstand_core import Clock
+
+from plantainstand_http._messages import Request, header_value
+
+
+class RequestReader:
+    """Parses bytes; hands over each request that is whole.
+
+    The callbacks without an underscore are the parser's.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        completed: Callable[[Request], None],
+        expects_continue: Callable[[], None],
+    ):
+        """``expects_continue`` is called for a client that waits for a word
+        before it sends its body."""
+        self._clock = clock
+        self._completed = completed
+        self._expects_continue = expects_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self.keeps_alive = True
+        self._begin()
+
+    def feed(self, chunk: bytes) -> bool:
+        """Take bytes; return False if they are no HTTP."""
+        if self.reading_head:
+            self.started = True
+            self.head_bytes += len(chunk)
+        try:
+            self._parser.feed_data(chunk)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            return False
+        return True
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._begin()
+        self.started = True
+
+    def on_url(self, part: bytes) -> None:
+        """Collect the target."""
+        self._target += part
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Note when the request arrived."""
+        self.reading_head = False
+        self._received_at = self._clock.monotonic()
+        if header_value(tuple(self._headers), b'expect') is not None:
+            self._expects_continue()
+
+    def on_body(self, part: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.append(part)
+        self.body_bytes += len(part)
+
+    def on_message_complete(self) -> None:
+        """Hand over the request, which is whole now."""
+        request = Request(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+            received_at=self._received_at,
+        )
+        self.keeps_alive = self._parser.should_keep_alive()
+        self._begin()
+        self._completed(request)
+
+    def _begin(self) -> None:
+        self.reading_head = True
+        self.started = False
+        self.begun_at: timedelta = self._clock.monotonic()
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self._received_at = self.begun_at
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -8,17 +8,15 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-import httptools
 import structlog
 from plantainstand_core import Clock
 
 from plantainstand_http._messages import (
-    Headers,
     Request,
     Response,
     encode_response,
-    header_value,
 )
+from plantainstand_http._reader import RequestReader
 
 Handler = Callable[[Request], Awaitable[Response]]
 """Answers a request; it is cancelled when the client leaves."""
@@ -118,25 +116,22 @@
 
 
 class _Connection(asyncio.Protocol):
-    """Parses one client's requests and answers them in order."""
+    """Answers one client's requests in order."""
 
     def __init__(self, server: HttpServer, handler: Handler, clock: Clock):
         self._server = server
         self._handler = handler
         self._clock = clock
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(clock, self._queue, self._go_on)
         self._transport: asyncio.Transport | None = None
         self._waiting: deque[Request] = deque()
         self._task: asyncio.Task[None] | None = None
         self._last_activity = clock.monotonic()
-        self._close_after_response = False
-        self._reading_head = True
-        self._begin_message()
 
     @property
     def busy(self) -> bool:
         """Whether a request is being answered or read."""
-        return self._task is not None or self._started
+        return self._task is not None or self._reader.started
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
@@ -159,60 +154,14 @@
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes of the client."""
         self._last_activity = self._clock.monotonic()
-        if self._reading_head:
-            self._started = True
-            self._head_bytes += len(chunk)
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError:
+        limits = self._server.limits
+        reader = self._reader
+        if not reader.feed(chunk):
             self._refuse(HTTPStatus.BAD_REQUEST)
-        self._check_sizes()
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self._begin_message()
-        self._started = True
-
-    def on_url(self, part: bytes) -> None:
-        """Collect the target."""
-        self._target += part
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
-        self._head_bytes += len(name) + len(content)
-        self._headers.append((name.lower(), content))
-
-    def on_headers_complete(self) -> None:
-        """Note when the request arrived; tell a waiting client to go on."""
-        self._reading_head = False
-        self._received_at = self._clock.monotonic()
-        expected = header_value(tuple(self._headers), b'expect')
-        if expected is not None and self._transport is not None:
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
-    def on_body(self, part: bytes) -> None:
-        """Collect a part of the body."""
-        self._body.append(part)
-        self._body_bytes += len(part)
-
-    def on_message_complete(self) -> None:
-        """Queue the request, which is whole now."""
-        request = Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-            received_at=self._received_at,
-        )
-        if not self._parser.should_keep_alive():
-            self._close_after_response = True
-        self._begin_message()
-        self._waiting.append(request)
-        self._start_next()
-        if len(self._waiting) > PIPELINE_LIMIT and self._transport:
-            self._transport.pause_reading()
+        elif reader.reading_head and reader.head_bytes > limits.header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif reader.body_bytes > limits.body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def check_time(self, now: timedelta) -> None:
         """Close a connection that is idle, or whose request is slow."""
@@ -220,9 +169,10 @@
         quiet = now - self._last_activity
         if self._task is not None or self._transport is None:
             return
-        if self._started and now - self._begun_at > limits.head_timeout:
+        reading = self._reader.started
+        if reading and now - self._reader.begun_at > limits.head_timeout:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
-        elif not self._started and quiet > limits.idle_timeout:
+        elif not reading and quiet > limits.idle_timeout:
             self._transport.close()
 
     def close_if_idle(self) -> None:
@@ -235,23 +185,18 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _begin_message(self) -> None:
-        self._reading_head = True
-        self._started = False
-        self._begun_at = self._clock.monotonic()
-        self._received_at = self._begun_at
-        self._target = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-
-    def _check_sizes(self) -> None:
-        limits = self._server.limits
-        if self._reading_head and self._head_bytes > limits.header_bytes * 2:
+    def _go_on(self) -> None:
+        if self._transport is not None:
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _queue(self, request: Request) -> None:
+        if request.head_bytes > self._server.limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self._body_bytes > limits.body_bytes:
-            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        self._waiting.append(request)
+        self._start_next()
+        if len(self._waiting) > PIPELINE_LIMIT and self._transport:
+            self._transport.pause_reading()
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that cannot be read, and close."""
@@ -293,7 +238,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         last = response.close or self._server.closing
-        close = last or (self._close_after_response and not self._waiting)
+        close = last or (not self._reader.keeps_alive and not self._waiting)
         self._transport.write(
             encode_response(
                 response,
@@ -304,5 +249,3 @@
         if close:
             self._waiting.clear()
             self._transport.close()
-
-
--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -98,8 +98,11 @@
         """Split bytes into frames."""
         self._heard_at = self._clock.monotonic()
         self._buffer += chunk
-        while self._take_frame():
-            continue
+        frame = self._take_frame()
+        while frame is not None:
+            if frame:
+                self._events.received(self, frame)
+            frame = self._take_frame()
 
     def send(self, frame: bytes) -> None:
         """Send a frame, or drop it if the link is closed."""
@@ -116,21 +119,21 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _take_frame(self) -> bool:
-        if len(self._buffer) < _LENGTH.size:
-            return False
-        (length,) = _LENGTH.unpack_from(self._buffer)
+    def _take_frame(self) -> bytes | None:
+        """Return the next frame, empty for a ping, or None."""
+        head = self._buffer[: _LENGTH.size]
+        if len(head) < _LENGTH.size:
+            return None
+        length = int.from_bytes(head, 'big')
         end = _LENGTH.size + length
         if length > MAX_FRAME_BYTES:
             self.abort()
-            return False
+            return None
         if len(self._buffer) < end:
-            return False
+            return None
         frame = bytes(self._buffer[_LENGTH.size : end])
-        del self._buffer[:end]  # noqa: WPS420
-        if frame:
-            self._events.received(self, frame)
-        return True
+        self._buffer = self._buffer[end:]
+        return frame
 
     def _ping(self) -> None:
         if self._transport is None:
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -67,7 +67,9 @@
         newest = self._newest()
         return timedelta.max if newest is None else now - newest.seen_at
 
-    def update(self, source: VmId, update: TargetUpdate, now: timedelta) -> None:
+    def update(
+        self, source: VmId, update: TargetUpdate, now: timedelta
+    ) -> None:
         """Take what a control VM saw."""
         observation = self._observations.setdefault(source, _Observation())
         observation.take(update, now)
@@ -78,7 +80,9 @@
         if len(self._observations) > 1:
             self._observations.pop(source, None)
 
-    def mark_cold(self, states: Sequence[TargetState], until: timedelta) -> None:
+    def mark_cold(
+        self, states: Sequence[TargetState], until: timedelta
+    ) -> None:
         """Treat targets as cold, for example after an evacuation."""
         for state in states:
             state.cold_until = max(state.cold_until, until)
--- a/libraries/placement/plantainstand_placement/_budget.py
+++ b/libraries/placement/plantainstand_placement/_budget.py
@@ -37,7 +37,9 @@
         """Note a request of a client."""
         self._window(self._requests, service, now).append(now)
 
-    def take(self, service: ServiceId, now: timedelta, entry_count: int) -> bool:
+    def take(
+        self, service: ServiceId, now: timedelta, entry_count: int
+    ) -> bool:
         """Take one repeat out of the budget, if it allows one."""
         requests = len(self._window(self._requests, service, now))
         repeats = self._window(self._repeats, service, now)
--- a/libraries/placement/plantainstand_placement/_split.py
+++ b/libraries/placement/plantainstand_placement/_split.py
@@ -24,7 +24,7 @@
         for part in parts:
             credits_of[part.service] += part.weight
         chosen = max(credits_of, key=credits_of.__getitem__)
-        credits_of[chosen] -= sum(part.weight for part in parts)
+        credits_of[chosen] -= sum(each.weight for each in parts)
         return chosen
 
     def _credits_of(self, match: RouteMatch) -> dict[ServiceId, float]:
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -1,5 +1,6 @@
 """What an entry VM knows of one target."""
 
+import math
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -70,7 +71,7 @@
     def load(self, now: timedelta) -> float:
         """Return the estimated number of requests at the target."""
         age = (now - self._others_at) / REPORT_HALF_LIFE
-        return self.in_flight + self._others * 0.5**age
+        return self.in_flight + self._others * _decay(age)
 
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target may still be cold."""
@@ -135,7 +136,7 @@
 
     def _failure_rate_now(self, now: timedelta) -> float:
         age: float = (now - self._failure_rate_at) / FAILURE_HALF_LIFE
-        return self._failure_rate * 0.5**age
+        return self._failure_rate * _decay(age)
 
     def _note_result(self, now: timedelta, *, failed: bool) -> None:
         rate = self._failure_rate_now(now)
@@ -145,3 +146,7 @@
     def _note_others(self, now: timedelta, others: float) -> None:
         self._others = max(float(0), others)
         self._others_at = now
+
+
+def _decay(half_lives: float) -> float:
+    return math.pow(0.5, half_lives)
--- /dev/null
+++ b/tests/placement/overload.py
@@ -0,0 +1,242 @@
+"""Replays an overload of cold targets without sockets.
+
+Fourteen targets with nine slots serve objects whose first run at a target
+takes several times as long as later ones. At the start all are cold, so the
+arrivals need twice the slots; once the objects are warm, half suffices.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from plantainstand_core import AvailabilityZoneId, RegionId, ServiceId, TargetId
+from plantainstand_fleet import TargetEntry
+from plantainstand_placement import (
+    Choice,
+    Demand,
+    LoadReport,
+    Refusal,
+    TargetState,
+    choose_target,
+)
+
+REGIONS = (RegionId('bajio'), RegionId('norte'), RegionId('occidente'))
+TARGETS_BY_REGION = (2, 6, 6)
+ENTRY_VMS_BY_REGION = 3
+SLOTS = 9
+QUEUE = 27
+OBJECTS_BY_REGION = 84
+ARRIVALS_PER_SECOND = 455
+COLD_RUN = timedelta(milliseconds=480)
+WARM_RUN = timedelta(milliseconds=144)
+OBJECTIVE = timedelta(milliseconds=400)
+TIMEOUT = timedelta(milliseconds=800)
+ZERO = timedelta()
+
+Chooser = Callable[
+    [Demand, Sequence[TargetState], timedelta, timedelta],
+    Choice | Refusal,
+]
+
+
+@dataclass(eq=False)
+class ReplayedRequest:
+    """One arrival."""
+
+    arrived: timedelta
+    object_key: bytes
+    states: Sequence[TargetState]
+    """What its entry VM knows of the targets."""
+
+    state: TargetState | None = None
+    cut: bool = False
+
+
+@dataclass(eq=False)
+class ReplayedTarget:
+    """A target that is fast for the objects it has served."""
+
+    running: int = 0
+    waiting: deque[ReplayedRequest] = field(default_factory=deque)
+    warm: set[bytes] = field(default_factory=set)
+
+
+@dataclass
+class Tally:
+    """What became of the arrivals."""
+
+    arrived: int = 0
+    in_objective: int = 0
+    late: int = 0
+    refused: int = 0
+    cut: int = 0
+
+
+class Replay:
+    """Runs the arrivals of one overload through a chooser."""
+
+    def __init__(self, choose: Chooser, seed: int):
+        self.tally = Tally()
+        self._choose = choose
+        self._random = random.Random(seed)  # noqa: S311
+        self._now = timedelta(seconds=1)
+        self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._entries = _entries()
+        self._targets = {
+            each.target: ReplayedTarget() for each in self._entries
+        }
+        self._vms = [
+            (region, [TargetState(each, self._now) for each in self._entries])
+            for region in REGIONS
+            for _number in range(ENTRY_VMS_BY_REGION)
+        ]
+        self._service_time = timedelta(milliseconds=200)
+
+    def run(self, duration: timedelta) -> Tally:
+        """Replay for a time; return what became of the arrivals."""
+        end = self._now + duration
+        self._at(self._now, lambda: self._arrive(end))
+        while self._events:
+            self._now, _sequence, action = heapq.heappop(self._events)
+            action()
+        return self.tally
+
+    def _at(self, moment: timedelta, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (moment, self._sequence, action))
+
+    def _arrive(self, end: timedelta) -> None:
+        pause = self._random.expovariate(ARRIVALS_PER_SECOND)
+        following = self._now + timedelta(seconds=pause)
+        if following < end:
+            self._at(following, lambda: self._arrive(end))
+        region, states = self._random.choice(self._vms)
+        number = self._random.randrange(OBJECTS_BY_REGION)
+        request = ReplayedRequest(
+            self._now,
+            f'{region}-{number}'.encode(),
+            states,
+        )
+        self.tally.arrived += 1
+        self._place(request, region)
+
+    def _place(self, request: ReplayedRequest, region: RegionId) -> None:
+        usual = self._service_time
+        demand = Demand(
+            object_key=request.object_key,
+            region=region,
+            homes=(),
+            longest_wait=max(OBJECTIVE - usual, usual * 0.25),
+            cold_limit=0,
+        )
+        chosen = self._choose(demand, request.states, usual, self._now)
+        if isinstance(chosen, Refusal):
+            self.tally.refused += 1
+            return
+        request.state = chosen.state
+        chosen.state.began(self._now)
+        target = self._targets[chosen.state.entry.target]
+        if len(target.waiting) >= QUEUE:
+            chosen.state.ended()
+            chosen.state.rejected(self._now)
+            self.tally.refused += 1
+            return
+        target.waiting.append(request)
+        self._at(self._now + TIMEOUT, lambda: self._time_out(request))
+        self._start_next(target)
+
+    def _start_next(self, target: ReplayedTarget) -> None:
+        while target.waiting and target.running < SLOTS:
+            request = target.waiting.popleft()
+            if request.cut:
+                continue
+            target.running += 1
+            warm = request.object_key in target.warm
+            ends = self._now + (WARM_RUN if warm else COLD_RUN)
+            cut_at = request.arrived + TIMEOUT
+            self._at(min(ends, cut_at), self._ending(target, request, ends))
+
+    def _ending(
+        self,
+        target: ReplayedTarget,
+        request: ReplayedRequest,
+        ends: timedelta,
+    ) -> Callable[[], None]:
+        def end() -> None:
+            target.running -= 1
+            if self._now >= ends and not request.cut:
+                target.warm.add(request.object_key)
+                self._answer(target, request)
+            self._start_next(target)
+
+        return end
+
+    def _answer(self, target: ReplayedTarget, request: ReplayedRequest) -> None:
+        request.cut = True
+        duration = self._now - request.arrived
+        if duration <= OBJECTIVE:
+            self.tally.in_objective += 1
+        else:
+            self.tally.late += 1
+        state = request.state
+        assert state is not None
+        state.ended()
+        report = LoadReport(target.running, len(target.waiting), SLOTS)
+        state.answered(self._now, report, failed=False)
+        self._service_time += (duration - self._service_time) * 0.05
+
+    def _time_out(self, request: ReplayedRequest) -> None:
+        if request.cut or request.state is None:
+            return
+        request.cut = True
+        self.tally.cut += 1
+        request.state.ended()
+        request.state.broke(self._now)
+
+
+def choose_least_loaded(
+    demand: Demand,
+    states: Sequence[TargetState],
+    _service_time: timedelta,
+    now: timedelta,
+) -> Choice | Refusal:
+    """Baseline: the target with the fewest requests, none refused."""
+    chosen = min(states, key=lambda state: state.load(now))
+    return Choice(chosen, 0, ZERO)
+
+
+def choose_first_in_order(
+    demand: Demand,
+    states: Sequence[TargetState],
+    service_time: timedelta,
+    now: timedelta,
+) -> Choice | Refusal:
+    """Baseline: always the first target of the object's order."""
+    idle = [TargetState(state.entry, now) for state in states]
+    first = choose_target(demand, idle, service_time, now)
+    assert isinstance(first, Choice)
+    entry = first.state.entry
+    chosen = next(state for state in states if state.entry is entry)
+    return Choice(chosen, 0, ZERO)
+
+
+def _entries() -> list[TargetEntry]:
+    return [
+        TargetEntry(
+            target=TargetId(f'{region}-{number}'),
+            service=ServiceId('catalogue'),
+            address=f'192.0.2.{number}:80',
+            zone=AvailabilityZoneId(f'{region}-a'),
+            region=region,
+            slots=SLOTS,
+            draining=False,
+            started_ms=0,
+            cold_seconds=0,
+        )
+        for region, count in zip(REGIONS, TARGETS_BY_REGION, strict=True)
+        for number in range(count)
+    ]
