--- /dev/null
+++ b/tests/desired/builders.py
@@ -0,0 +1,77 @@
+"""Items for tests."""
+
+from plantainstand_core import LogIndex, ServiceId
+from plantainstand_desired import (
+    ChangeItems,
+    ChangeOutcome,
+    DesiredState,
+    Item,
+    ItemKind,
+    Route,
+    ServicePolicy,
+    Version,
+    WeightedService,
+    decode_outcome,
+    encode_command,
+)
+from plantainstand_desired._state import Command
+
+
+def route_item(
+    name: str,
+    version: int,
+    *,
+    host: str = 'shop.example',
+    prefix: str = '/orders/',
+    timeout: float = 1,
+    objective: float = 0.5,
+    service: str = 'orders',
+    weight: float = 1,
+) -> Item:
+    """Return a route with one service."""
+    body = Route(
+        host=host,
+        path_prefix=prefix,
+        idempotent=True,
+        timeout_seconds=timeout,
+        objective_seconds=objective,
+        rank=0,
+        max_attempts=2,
+        sticky=True,
+        home_regions=(),
+        parts=(WeightedService(ServiceId(service), weight),),
+    )
+    document = f'{name} {version} {timeout}'.encode()
+    return Item(ItemKind.ROUTE, name, Version(version), body, document)
+
+
+def service_item(name: str = 'orders', version: int = 1) -> Item:
+    """Return a service."""
+    body = ServicePolicy('/health', 100, 3, 15)
+    return Item(ItemKind.SERVICE, name, Version(version), body, b'service')
+
+
+def removal(name: str, version: int) -> Item:
+    """Return the removal of a route."""
+    return Item(ItemKind.ROUTE, name, Version(version), None)
+
+
+class Log:
+    """Applies commands one after another."""
+
+    def __init__(self, *commands: Command):
+        self.state = DesiredState()
+        self.index = LogIndex(0)
+        for command in commands:
+            self.apply(command)
+
+    def apply(self, command: Command) -> ChangeOutcome:
+        """Apply at the next index."""
+        self.index = LogIndex(self.index + 1)
+        return decode_outcome(
+            self.state.apply(self.index, encode_command(command)),
+        )
+
+    def change(self, *items: Item) -> ChangeOutcome:
+        """Change items together."""
+        return self.apply(ChangeItems(items))
--- /dev/null
+++ b/tests/placement/test_choice.py
@@ -0,0 +1,149 @@
+"""Which target a request goes to, and when it is refused."""
+
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from plantainstand_placement import (
+    Choice,
+    Refusal,
+    RefusalReason,
+    TargetState,
+    choose_target,
+)
+
+from tests.placement.builders import NOW, SERVICE_TIME, demand, entry, states
+
+_NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
+
+
+def _chosen(targets: list[TargetState], key: str = 'object') -> str:
+    choice = choose_target(demand(key), targets, SERVICE_TIME, NOW)
+    assert isinstance(choice, Choice)
+    return choice.state.entry.target
+
+
+def _fill(state: TargetState, requests: int) -> None:
+    for _number in range(requests):
+        state.began(NOW)
+
+
+class OrderTests(unittest.TestCase):
+    """An object stays with its target, or targets serve it cold."""
+
+    def test_same_for_all_vms(self) -> None:
+        """The order of the list and other targets do not matter."""
+        there = states(*_NAMES)
+        for number in range(50):
+            key = str(number)
+            first = _chosen(there, key)
+            self.assertEqual(_chosen(there[::-1], key), first)
+            fewer = [each for each in there if each.entry.target != 'a']
+            if first != 'a':
+                self.assertEqual(_chosen(fewer, key), first)
+
+    def test_region_shares_do_not_follow_load(self) -> None:
+        """A busy first target hands over without moving other objects."""
+        near = states('a', 'b', region='norte')
+        far = states('c', 'd', region='sul')
+        keys = [str(number) for number in range(300)]
+        before = [_chosen([*near, *far], key) for key in keys]
+        _fill(near[0], near[0].entry.slots + 4)
+        after = [_chosen([*near, *far], key) for key in keys]
+        moved = {
+            first
+            for first, second in zip(before, after, strict=True)
+            if first != second
+        }
+        self.assertEqual(moved, {'a'})
+
+    def test_own_region_is_preferred(self) -> None:
+        """Three quarters stay where both regions have equal slots."""
+        there = [*states('a', 'b'), *states('c', 'd', region='sul')]
+        counts = Counter(
+            _chosen(there, str(number)) in {'a', 'b'} for number in range(2000)
+        )
+        self.assertAlmostEqual(counts[True] / 2000, 0.75, delta=0.05)
+
+
+class AllowedTests(unittest.TestCase):
+    """Targets that must not get a request."""
+
+    def test_excluded(self) -> None:
+        """Each reason leaves no target."""
+        cold = TargetState(entry('a'), NOW)
+        cold.cold_until = NOW + timedelta(seconds=3)
+        spent = TargetState(entry('a'), NOW)
+        spent.cold_until = NOW + timedelta(seconds=3)
+        _fill(spent, 2)
+        unreachable = states('a')
+        unreachable[0].unreachable(NOW)
+        cases = (
+            ('tried', demand(tried=('a',)), states('a')),
+            ('evacuated', demand(evacuating=('norte-a',)), states('a')),
+            ('not at home', demand(homes=('sul',)), states('a')),
+            ('cold without a share', demand(cold_limit=0), [cold]),
+            ('cold, share spent', demand(cold_limit=2), [spent]),
+            ('unreachable', demand(), unreachable),
+        )
+        for name, asked, there in cases:
+            with self.subTest(name):
+                refusal = choose_target(asked, there, SERVICE_TIME, NOW)
+                assert isinstance(refusal, Refusal)
+                self.assertIs(refusal.reason, RefusalReason.NO_TARGET)
+
+    def test_failing_target_is_last(self) -> None:
+        """A target that fails a third of its requests is passed over."""
+        there = states(*_NAMES)
+        first = next(
+            each for each in there if each.entry.target == _chosen(there)
+        )
+        for _number in range(3):
+            first.broke(NOW)
+        self.assertNotEqual(_chosen(there), first.entry.target)
+
+    def test_silent_target_is_last(self) -> None:
+        """Requests under way without any answer show a lost connection."""
+        there = states(*_NAMES)
+        first = next(
+            each for each in there if each.entry.target == _chosen(there)
+        )
+        first.began(NOW)
+        later = NOW + timedelta(seconds=1)
+        choice = choose_target(demand(), there, SERVICE_TIME, later)
+        assert isinstance(choice, Choice)
+        self.assertIsNot(choice.state, first)
+
+    def test_failing_target_is_tried_again(self) -> None:
+        """Failures are forgotten, or a repaired target stays unused."""
+        there = states(*_NAMES)
+        name = _chosen(there)
+        first = next(each for each in there if each.entry.target == name)
+        for _number in range(5):
+            first.broke(NOW)
+        later = NOW + timedelta(seconds=10)
+        choice = choose_target(demand(), there, SERVICE_TIME, later)
+        assert isinstance(choice, Choice)
+        self.assertEqual(choice.state.entry.target, name)
+
+
+class RefusalTests(unittest.TestCase):
+    """Requests that would be answered too late are refused at once."""
+
+    def test_refused_when_all_are_busy(self) -> None:
+        """The pause tells when there may be room."""
+        there = states('a', 'b')
+        for state in there:
+            _fill(state, state.entry.slots * 4)
+        refusal = choose_target(demand(), there, SERVICE_TIME, NOW)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.reason, RefusalReason.NO_CAPACITY)
+        self.assertGreater(refusal.retry_after, SERVICE_TIME)
+
+    def test_spills_to_a_target_with_room(self) -> None:
+        """The second target takes over while it is at most half busy."""
+        there = states('a', 'b')
+        name = _chosen(there)
+        first = next(each for each in there if each.entry.target == name)
+        _fill(first, first.entry.slots * 3)
+        self.assertNotEqual(_chosen(there), name)
