--- a/libraries/telemetry/plantainstand_telemetry/_bounded_output.py
+++ b/libraries/telemetry/plantainstand_telemetry/_bounded_output.py
@@ -58,9 +58,13 @@
 
     def flush_pending(self) -> None:
         """Write what the reader takes at once."""
-        if self._dropped and self._pending_bytes < MAX_PENDING_BYTES:
+        self._write_pending()
+        if self._dropped and not self._pending:
             self._append(_dropped_line(self._dropped))
             self._dropped = 0
+            self._write_pending()
+
+    def _write_pending(self) -> None:
         while self._pending:
             whole = b''.join(self._pending)
             try:
--- /dev/null
+++ b/tests/edge/builders.py
@@ -0,0 +1,192 @@
+"""A steering object with a scripted pool of targets."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import cast
+
+import msgspec
+from plantainstand_core import (
+    AvailabilityZoneId,
+    LogIndex,
+    ManualClock,
+    RegionId,
+    TargetId,
+    VmId,
+)
+from plantainstand_desired import DesiredView, Route
+from plantainstand_edge import (
+    Dialect,
+    EntrySettings,
+    RequestFacts,
+    RequestSteering,
+    SteeringParts,
+    TargetVerdict,
+)
+from plantainstand_edge._fleet_size import FleetSize
+from plantainstand_edge._node import METRIC_HELP
+from plantainstand_fleet import TargetUpdate
+from plantainstand_http import (
+    Answer,
+    ExchangeFailure,
+    FailureKind,
+    Headers,
+    Request,
+    TargetPool,
+    header_value,
+)
+from plantainstand_placement import (
+    ColdTerms,
+    RetryBudgetShare,
+    RetryBudgetTerms,
+    TargetBoard,
+)
+from plantainstand_telemetry import Metrics
+from result import Err, Ok, Result
+
+from tests.desired.builders import route_item
+from tests.placement.builders import entry
+
+Outcome = Result[Answer, ExchangeFailure]
+
+ANSWERED: Outcome = Ok(Answer(200, (), b'whole'))
+FAILED: Outcome = Ok(Answer(500, (), b'failure'))
+REJECTED: Outcome = Ok(Answer(503, ((b'not-run', b'1'),), b''))
+MISDIRECTED: Outcome = Ok(Answer(421, (), b''))
+NOT_SENT: Outcome = Err(ExchangeFailure(FailureKind.NOT_SENT, ''))
+BROKEN: Outcome = Err(ExchangeFailure(FailureKind.BROKEN, ''))
+TIMED_OUT: Outcome = Err(ExchangeFailure(FailureKind.TIMED_OUT, ''))
+
+
+class ScriptedPool:
+    """Gives one outcome after another; remembers what was sent where."""
+
+    def __init__(self, outcomes: Sequence[Outcome], clock: ManualClock):
+        self.sent: list[str] = []
+        self.timeouts: list[timedelta] = []
+        self._outcomes = list(outcomes)
+        self._clock = clock
+
+    async def exchange(
+        self,
+        address: str,
+        _payload: bytes,
+        _identity: tuple[bytes, bytes | None],
+        timeout: timedelta,
+        *,
+        head_only: bool = False,
+    ) -> Outcome:
+        """Return the next outcome; a timeout takes its time."""
+        self.sent.append(address)
+        self.timeouts.append(timeout)
+        outcome = self._outcomes.pop(0)
+        if outcome is TIMED_OUT:
+            self._clock.advance(timeout)
+        return outcome
+
+    def forget(self, _address: str) -> None:
+        """See ``TargetPool.forget``."""
+
+
+def _read_facts(request: Request) -> RequestFacts | None:
+    request_id = header_value(request.headers, b'id')
+    if request_id is None:
+        return None
+    return RequestFacts(
+        request_id,
+        'shop.example',
+        request.path.decode(),
+        b'object',
+        timedelta(seconds=2),
+    )
+
+
+def _read_verdict(answer: Answer) -> TargetVerdict:
+    not_run = header_value(answer.headers, b'not-run') is not None
+    return TargetVerdict(not_run, answer.status == 421, None)
+
+
+def _refusal_headers(_id: bytes, pause: timedelta | None) -> Headers:
+    if pause is None:
+        return ()
+    return ((b'retry-after', str(pause.total_seconds()).encode()),)
+
+
+def _target_headers(_target: TargetId, _left: timedelta) -> Headers:
+    return ()
+
+
+DIALECT = Dialect(
+    _read_facts,
+    _target_headers,
+    _read_verdict,
+    b'id',
+    _refusal_headers,
+)
+
+SETTINGS = EntrySettings(
+    vm=VmId('10.0.0.9'),
+    zone=AvailabilityZoneId('norte-a'),
+    region=RegionId('norte'),
+    client_address='10.0.0.9:80',
+    ready_address='10.0.0.9:81',
+    metrics_port=82,
+    link_port=83,
+    seeds=(),
+    cold_terms=ColdTerms(1.5, 5),
+    retry_terms=RetryBudgetTerms(0.2, 58, timedelta(seconds=10)),
+    grace=timedelta(seconds=6),
+)
+
+
+class World:
+    """Three targets, one route, and a script of outcomes."""
+
+    def __init__(
+        self,
+        *outcomes: Outcome,
+        idempotent: bool = True,
+        max_attempts: int = 2,
+        targets: int = 3,
+        routes: bool = True,
+    ):
+        self.clock = ManualClock()
+        self.pool = ScriptedPool(outcomes, self.clock)
+        item = route_item('shop', 1)
+        body = item.body
+        assert isinstance(body, Route)
+        body = msgspec.structs.replace(
+            body,
+            idempotent=idempotent,
+            max_attempts=max_attempts,
+        )
+        view = DesiredView()
+        if routes:
+            item = msgspec.structs.replace(item, body=body)
+            view.merge((item,), (), LogIndex(1))
+        board = TargetBoard()
+        listed = tuple(entry(f't{number}') for number in range(targets))
+        board.update(
+            VmId('10.0.0.1'),
+            TargetUpdate(full=True, present=listed, gone=(), age_seconds=0),
+            self.clock.monotonic(),
+        )
+        self.board = board
+        parts = SteeringParts(
+            view,
+            board,
+            cast(TargetPool, self.pool),
+            RetryBudgetShare(SETTINGS.retry_terms),
+            FleetSize(),
+            Metrics(METRIC_HELP),
+        )
+        self.steering = RequestSteering(SETTINGS, parts, DIALECT, self.clock)
+
+    def request(self, path: str = '/orders/1') -> Request:
+        """Return a request that has just arrived."""
+        return Request(
+            b'POST',
+            path.encode(),
+            ((b'id', b'1'),),
+            b'',
+            self.clock.monotonic(),
+        )
--- /dev/null
+++ b/tests/http/test_reader.py
@@ -0,0 +1,62 @@
+"""Requests are read whole, however their bytes arrive."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from plantainstand_core import ManualClock
+from plantainstand_http import Request
+from plantainstand_http._reader import RequestReader
+
+_STREAM = (
+    b'POST /orders/1?x=2 HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\n'
+    b'body'
+    b'GET /orders/2 HTTP/1.1\r\nHost: shop\r\n\r\n'
+    b'PUT /orders/3 HTTP/1.1\r\nHost: shop\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+)
+
+
+def _read(chunks: list[bytes]) -> tuple[list[Request], bool]:
+    requests: list[Request] = []
+    reader = RequestReader(ManualClock(), requests.append, lambda: None)
+    readable = all([reader.feed(chunk) for chunk in chunks])
+    return requests, readable
+
+
+class ReaderTests(unittest.TestCase):
+    """A cut in any place must not change a request."""
+
+    @given(st.lists(st.integers(0, len(_STREAM)), max_size=8))
+    def test_any_split(self, cuts: list[int]) -> None:
+        """Three requests come out of any chunks."""
+        places = [0, *sorted(cuts), len(_STREAM)]
+        chunks = [
+            _STREAM[start:end]
+            for start, end in zip(places, places[1:], strict=False)
+        ]
+        requests, readable = _read([chunk for chunk in chunks if chunk])
+        self.assertTrue(readable)
+        read = [(each.method, each.target, each.body) for each in requests]
+        self.assertEqual(
+            read,
+            [
+                (b'POST', b'/orders/1?x=2', b'body'),
+                (b'GET', b'/orders/2', b''),
+                (b'PUT', b'/orders/3', b'abcde'),
+            ],
+        )
+
+    def test_refused_bytes(self) -> None:
+        """Bytes that could hide a second request are not read."""
+        cases = (
+            b'nonsense\r\n\r\n',
+            b'GET / HTTP/1.1\r\nContent-Length: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n',
+            b'GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+            b'GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n',
+        )
+        for stream in cases:
+            with self.subTest(stream):
+                _requests, readable = _read([stream])
+                self.assertFalse(readable)
--- a/tests/placement/builders.py
+++ b/tests/placement/builders.py
@@ -13,6 +13,7 @@
 
 NOW = timedelta(hours=1)
 SERVICE_TIME = timedelta(milliseconds=100)
+LONGEST_WAIT = SERVICE_TIME * 2
 SERVICE = ServiceId('orders')
 
 
@@ -48,7 +49,7 @@
     key: str = 'object',
     *,
     homes: tuple[str, ...] = (),
-    longest_wait: timedelta = SERVICE_TIME * 2,
+    longest_wait: timedelta = LONGEST_WAIT,
     cold_limit: int = 2,
     tried: tuple[str, ...] = (),
     evacuating: tuple[str, ...] = (),
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -92,7 +92,7 @@
         self._vms = [
             (region, [TargetState(each, self._now) for each in self._entries])
             for region in REGIONS
-            for _number in range(ENTRY_VMS_BY_REGION)
+            for _ in range(ENTRY_VMS_BY_REGION)
         ]
         self._service_time = timedelta(milliseconds=200)
 
@@ -101,8 +101,9 @@
         end = self._now + duration
         self._at(self._now, lambda: self._arrive(end))
         while self._events:
-            self._now, _sequence, action = heapq.heappop(self._events)
-            action()
+            event = heapq.heappop(self._events)
+            self._now = event[0]
+            event[2]()
         return self.tally
 
     def _at(self, moment: timedelta, action: Callable[[], None]) -> None:
@@ -156,7 +157,8 @@
                 continue
             target.running += 1
             warm = request.object_key in target.warm
-            ends = self._now + (WARM_RUN if warm else COLD_RUN)
+            run = WARM_RUN if warm else COLD_RUN
+            ends = self._now + run
             cut_at = request.arrived + TIMEOUT
             self._at(min(ends, cut_at), self._ending(target, request, ends))
 
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -24,7 +24,7 @@
 
 
 def _fill(state: TargetState, requests: int) -> None:
-    for _number in range(requests):
+    for _ in range(requests):
         state.began(NOW)
 
 
@@ -37,7 +37,7 @@
         for number in range(50):
             key = str(number)
             first = _chosen(there, key)
-            self.assertEqual(_chosen(there[::-1], key), first)
+            self.assertEqual(_chosen(list(reversed(there)), key), first)
             fewer = [each for each in there if each.entry.target != 'a']
             if first != 'a':
                 self.assertEqual(_chosen(fewer, key), first)
@@ -98,7 +98,7 @@
         first = next(
             each for each in there if each.entry.target == _chosen(there)
         )
-        for _number in range(3):
+        for _ in range(3):
             first.broke(NOW)
         self.assertNotEqual(_chosen(there), first.entry.target)
 
@@ -119,7 +119,7 @@
         there = states(*_NAMES)
         name = _chosen(there)
         first = next(each for each in there if each.entry.target == name)
-        for _number in range(5):
+        for _ in range(5):
             first.broke(NOW)
         later = NOW + timedelta(seconds=10)
         choice = choose_target(demand(), there, SERVICE_TIME, later)
--- a/tests/placement/test_limits.py
+++ b/tests/placement/test_limits.py
@@ -46,7 +46,7 @@
         steps: list[bool],
     ) -> None:
         """Any interleaving of requests and repeats in one window."""
-        shares = [RetryBudgetShare(_TERMS) for _number in range(entry_count)]
+        shares = [RetryBudgetShare(_TERMS) for _ in range(entry_count)]
         requests = 0
         repeats = 0
         for number, is_request in enumerate(steps):
@@ -61,8 +61,9 @@
     def test_window_slides(self) -> None:
         """Repeats are allowed again after the window."""
         share = RetryBudgetShare(_TERMS)
-        while share.take(_SERVICE, NOW, 1):
-            continue
+        allowed = True
+        while allowed:
+            allowed = share.take(_SERVICE, NOW, 1)
         later = NOW + timedelta(seconds=10.1)
         self.assertFalse(share.take(_SERVICE, NOW, 1))
         self.assertTrue(share.take(_SERVICE, later, 1))
--- a/tests/placement/test_split.py
+++ b/tests/placement/test_split.py
@@ -31,7 +31,7 @@
             with self.subTest(weights=weights):
                 splitter = TrafficSplitter()
                 match = _match(1, *weights)
-                counts = Counter(splitter.pick(match) for _n in range(100))
+                counts = Counter(splitter.pick(match) for _ in range(100))
                 for number, weight in enumerate(weights):
                     self.assertAlmostEqual(
                         counts[ServiceId(str(number))],
@@ -42,7 +42,7 @@
     def test_new_version_starts_anew(self) -> None:
         """History under old weights does not skew the new ones."""
         splitter = TrafficSplitter()
-        for _number in range(50):
+        for _ in range(50):
             splitter.pick(_match(1, 99, 1))
-        counts = Counter(splitter.pick(_match(2, 1, 1)) for _n in range(10))
+        counts = Counter(splitter.pick(_match(2, 1, 1)) for _ in range(10))
         self.assertEqual(counts[ServiceId('0')], 5)
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,6 @@
+"""Tests of the adapter, whose folder is no installed package."""
+
+import sys
+from pathlib import Path
+
+sys.path.append(str(Path(__file__).resolve().parents[2] / 'platform'))
