--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -113,7 +113,7 @@
 
     def test_field_order_does_not_matter(self) -> None:
         """A resend with other field order is the same content."""
-        reordered = dict(reversed(_ROUTE.items()))
+        reordered = dict(reversed(list(_ROUTE.items())))
         again = msgspec.json.encode(
             {'upsert': {'routes': {'shop': reordered}}},
         )
--- a/tests/platform_adapter/test_targets.py
+++ b/tests/platform_adapter/test_targets.py
@@ -77,7 +77,7 @@
     def test_bytes_that_are_no_text(self) -> None:
         """The other entries of the page are read."""
         body = b'{"instances":[{"id":"\xff\xfe"},%s],"nextToken":null}'
-        page = decode_page(body % msgspec.json.encode(_ENTRY)).unwrap()
+        page = decode_page(body % msgspec.json.encode(dict(_ENTRY))).unwrap()
         settings = _read(_SETTINGS)
         entries = [decode_entry(raw, settings) for raw in page.instances]
         self.assertEqual([each is None for each in entries], [True, False])
