Keep an object's order when all its targets fail alike; come back at once

Failure rates around the limit of 0.3 made entry VMs leave an object's target at random, a rejection counted as a full target, and clients were told to come back after 200 ms, beyond the objective. Change: a target is passed over only if it fails 1.6 times as often as its service's average; a rejection's stated load is used; the pause is 20 ms while other targets of the object have room. After a timeout the idle connections to that target are closed, since they may be silent too.

--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -49,9 +49,9 @@
 NOT_READY_PAUSE = timedelta(milliseconds=500)
 """When to come back to a VM that has just started."""
 
-REJECTED_PAUSE = timedelta(milliseconds=200)
-"""When to come back after targets have rejected a request: about one service
-time, in which slots become free."""
+REJECTED_PAUSE = timedelta(milliseconds=20)
+"""When to come back if targets have rejected a request though others of its
+object have room: at once, since the objective may still be met."""
 
 MAX_CONNECT_FAILURES = 3
 """Unreachable targets tried for one request before it is given up."""
@@ -224,7 +224,7 @@
             state.unreachable(now)
             return None
         if verdict.not_run:
-            state.rejected(now)
+            state.rejected(now, verdict.load)
             return None
         failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         state.answered(now, verdict.load, failed=failed)
@@ -296,7 +296,13 @@
     def _not_run(self, journey: Journey, refusal: Refusal | None) -> Response:
         pause = REJECTED_PAUSE
         reason = 'targets rejected it'
-        if refusal is not None:
+        if refusal is None:
+            # Where all are full, an early return would be refused again.
+            journey.tried.clear()
+            following = self._choose(journey)
+            if isinstance(following, Refusal):
+                pause = following.retry_after
+        else:
             pause = refusal.retry_after
             reason = refusal.reason.value
         status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -268,6 +268,8 @@
             if not waiter.done():
                 connection.abort()
         if not waiter.done():
+            # Other idle connections may have gone silent as well.
+            self.forget(address)
             return Err(ExchangeFailure(FailureKind.TIMED_OUT, 'no answer'))
         self._release(address, connection)
         return waiter.result()
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -46,6 +46,15 @@
 FREE_SLOT_MARGIN = 0.5
 """Part of a slot that must be free: loads of other VMs are estimates."""
 
+GREY_FAILURE_RATE = 0.3
+"""Above this a target is passed over while others have room; ordinary errors
+are below one in a hundred."""
+
+GREY_FAILURE_MULTIPLE = 1.6
+"""A target is passed over only if it fails this much more often than its
+service's targets do on average. When all fail alike, leaving the object's
+target would only make the next one serve it cold."""
+
 RETRY_AFTER_MIN = timedelta(milliseconds=100)
 """Shortest time after which a refused request is worth another try."""
 
@@ -120,9 +129,14 @@
     allowed = [state for state in states if _is_allowed(state, demand, now)]
     if not allowed:
         return Refusal(RefusalReason.NO_TARGET, RETRY_AFTER_MAX / 2)
+    failure_limit = _failure_limit(states, now)
     ordered = sorted(
         allowed,
-        key=lambda state: _order_key(state, demand, service_time, now),
+        key=lambda state: (
+            state.failure_rate(now) > failure_limit
+            or state.is_silent(now, service_time),
+            _order_position(state, demand),
+        ),
     )
     rank = _best_rank(ordered, service_time, now)
     wait = _expected_wait(ordered[rank], service_time, now)
@@ -157,20 +171,19 @@
     return not state.is_suspect(now)
 
 
-def _order_key(
-    state: TargetState,
-    demand: Demand,
-    service_time: timedelta,
-    now: timedelta,
-) -> tuple[bool, float]:
+def _failure_limit(states: Sequence[TargetState], now: timedelta) -> float:
+    mean = sum(state.failure_rate(now) for state in states) / len(states)
+    return max(GREY_FAILURE_RATE, mean * GREY_FAILURE_MULTIPLE)
+
+
+def _order_position(state: TargetState, demand: Demand) -> float:
     entry = state.entry
     weight = max(1, entry.slots)
     if entry.region == demand.region:
         weight *= OWN_REGION_WEIGHT
     digest = xxhash.xxh64_intdigest(demand.object_key, state.order_seed)
     position = (digest + 1) / (_HASH_SPAN + 1)
-    failing = state.is_failing(now, service_time)
-    return (failing, -math.log(position) / weight)
+    return -math.log(position) / weight
 
 
 def _expected_wait(
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -23,10 +23,6 @@
 """Age at which the failure rate counts half, so that a target that gets no
 requests is tried again."""
 
-GREY_FAILURE_RATE = 0.3
-"""Above this a target is passed over while others have room; ordinary errors
-are below one in a hundred."""
-
 SUSPECT_PAUSE = timedelta(milliseconds=500)
 """Pause after a target could not be reached; doubles with each repetition."""
 
@@ -81,13 +77,15 @@
         """Tell whether the target could lately not be reached."""
         return now < self._suspect_until
 
-    def is_failing(self, now: timedelta, service_time: timedelta) -> bool:
-        """Tell whether others are to be preferred."""
+    def failure_rate(self, now: timedelta) -> float:
+        """Return the share of useless results, fading with time."""
+        age: float = (now - self._failure_rate_at) / FAILURE_HALF_LIFE
+        return self._failure_rate * _decay(age)
+
+    def is_silent(self, now: timedelta, service_time: timedelta) -> bool:
+        """Tell whether requests are under way and none is answered."""
         limit = max(SILENCE_MIN, service_time * SILENCE_MULTIPLE)
-        silent = (
-            self._quiet_since is not None and now - self._quiet_since > limit
-        )
-        return silent or self._failure_rate_now(now) > GREY_FAILURE_RATE
+        return self._quiet_since is not None and now - self._quiet_since > limit
 
     def began(self, now: timedelta) -> None:
         """Note that a request is sent."""
@@ -118,11 +116,17 @@
             load = report.running + report.waiting
             self._note_others(now, load - self.in_flight)
 
-    def rejected(self, now: timedelta) -> None:
-        """Note that the target said that it is full."""
+    def rejected(self, now: timedelta, report: LoadReport | None) -> None:
+        """Note that the target has refused to run a request.
+
+        A target that does not state its load is taken to be full.
+        """
         self._quiet_since = now if self.in_flight else None
         self._note_result(now, failed=True)
-        self._note_others(now, self.entry.slots - self.in_flight + 1)
+        load = self.entry.slots + 1
+        if report is not None:
+            load = report.running + report.waiting
+        self._note_others(now, load - self.in_flight)
 
     def broke(self, now: timedelta) -> None:
         """Note an exchange that ended without an answer."""
@@ -134,12 +138,8 @@
         self._suspect_until = now + self._suspect_pause
         self._suspect_pause = min(self._suspect_pause * 2, SUSPECT_PAUSE_MAX)
 
-    def _failure_rate_now(self, now: timedelta) -> float:
-        age: float = (now - self._failure_rate_at) / FAILURE_HALF_LIFE
-        return self._failure_rate * _decay(age)
-
     def _note_result(self, now: timedelta, *, failed: bool) -> None:
-        rate = self._failure_rate_now(now)
+        rate = self.failure_rate(now)
         self._failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
         self._failure_rate_at = now
 
--- a/tests/edge/test_steering.py
+++ b/tests/edge/test_steering.py
@@ -97,6 +97,15 @@
         self.assertEqual(response.status, 503)
         self.assertIn(b'retry-after', dict(response.headers))
 
+    async def test_rejected_with_room(self) -> None:
+        """A client comes back at once while other targets have room."""
+        for targets, early in ((3, True), (1, False)):
+            with self.subTest(targets=targets):
+                world = World(REJECTED, REJECTED, targets=targets)
+                response = await world.steering.handle(world.request())
+                pause = float(dict(response.headers)[b'retry-after'])
+                self.assertEqual(pause < 0.05, early)
+
     async def test_unknown_route(self) -> None:
         """Without any desired state, a missing route is no answer."""
         for routes, status in ((True, 404), (False, 503)):
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -143,7 +143,8 @@
         target = self._targets[chosen.state.entry.target]
         if len(target.waiting) >= QUEUE:
             chosen.state.ended()
-            chosen.state.rejected(self._now)
+            report = LoadReport(target.running, len(target.waiting), SLOTS)
+            chosen.state.rejected(self._now, report)
             self.tally.refused += 1
             return
         target.waiting.append(request)
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -6,6 +6,7 @@
 
 from plantainstand_placement import (
     Choice,
+    LoadReport,
     Refusal,
     RefusalReason,
     TargetState,
@@ -102,6 +103,26 @@
             first.broke(NOW)
         self.assertNotEqual(_chosen(there), first.entry.target)
 
+    def test_order_stays_when_all_fail_alike(self) -> None:
+        """Leaving the target would only make another serve it cold."""
+        there = states(*_NAMES)
+        name = _chosen(there)
+        for state in there:
+            failures = 3 if state.entry.target == name else 2
+            for _ in range(failures):
+                state.broke(NOW)
+        self.assertEqual(_chosen(there), name)
+
+    def test_rejection_with_room_keeps_the_order(self) -> None:
+        """A target that rejects some requests but is not full stays first."""
+        there = states(*_NAMES)
+        name = _chosen(there)
+        first = next(each for each in there if each.entry.target == name)
+        first.rejected(NOW, LoadReport(1, 0, 4))
+        self.assertEqual(_chosen(there), name)
+        first.rejected(NOW, LoadReport(4, 8, 4))
+        self.assertNotEqual(_chosen(there), name)
+
     def test_silent_target_is_last(self) -> None:
         """Requests under way without any answer show a lost connection."""
         there = states(*_NAMES)
