--- /dev/null
+++ b/tests/edge/test_node.py
@@ -0,0 +1,127 @@
+"""An entry VM as a whole: ready when it knows enough, and a planned stop."""
+
+import asyncio
+import unittest
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from datetime import timedelta
+
+import msgspec
+import urllib3
+from plantainstand_core import SystemClock, VmId
+from plantainstand_edge import EntryNode, EntrySettings
+from plantainstand_fleet import (
+    DesiredUpdate,
+    TargetUpdate,
+    encode_fleet_message,
+)
+from plantainstand_links import Link, LinkEvents, LinkServer, LinkTimes
+
+from tests.desired.builders import route_item, service_item
+from tests.edge.builders import DIALECT, SETTINGS
+from tests.placement.builders import entry
+
+_HOST = '127.0.0.1'
+_LINK_PORT = 17571
+_DEADLINE_SECONDS = 10
+_ANSWER = b'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole'
+
+
+def _settings() -> EntrySettings:
+    return replace(
+        SETTINGS,
+        vm=VmId(_HOST),
+        client_address=f'{_HOST}:17572',
+        ready_address=f'{_HOST}:17573',
+        metrics_port=17574,
+        link_port=_LINK_PORT,
+        seeds=(VmId(_HOST),),
+        grace=timedelta(seconds=6),
+    )
+
+
+class SlowTarget:
+    """Answers each request only when told to."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.release = asyncio.Event()
+        self.address = ''
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        """Listen on a free port until the stack is closed."""
+        server = await asyncio.start_server(self._serve, _HOST, 0)
+        stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f'{_HOST}:{port}'
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        self.asked.set()
+        await self.release.wait()
+        writer.write(_ANSWER)
+        await writer.drain()
+        writer.close()
+
+
+class EntryNodeTests(unittest.IsolatedAsyncioTestCase):
+    """A control VM of the test sends the desired state and the list."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a target, a control VM and an entry VM."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.target = SlowTarget()
+        await self.target.start(self.stack)
+        events = LinkEvents(self._greet, _ignore, _ignore)
+        server = LinkServer(events, SystemClock(), LinkTimes())
+        await server.start(_HOST, _LINK_PORT, self.stack)
+        self.stop = asyncio.Event()
+        self.node = EntryNode(_settings(), DIALECT, SystemClock())
+        self.running = asyncio.create_task(self.node.run(self.stop))
+        self.stack.callback(self.running.cancel)
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while not self.node.is_ready:
+                await asyncio.sleep(0.01)
+
+    async def test_stop_answers_what_is_under_way(self) -> None:
+        """A planned stop must not cut a request at its target."""
+        asking = asyncio.create_task(asyncio.to_thread(_ask))
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            await self.target.asked.wait()
+            self.stop.set()
+            await asyncio.sleep(0.1)
+            self.assertFalse(self.node.is_ready)
+            self.target.release.set()
+            response = await asking
+            self.assertEqual((response.status, response.data), (200, b'whole'))
+            self.assertEqual(response.headers['connection'], 'close')
+            await self.running
+
+    def _greet(self, link: Link) -> None:
+        items = (service_item(), route_item('shop', 5, timeout=8))
+        address = self.target.address
+        listed = (msgspec.structs.replace(entry('t1'), address=address),)
+        for message in (
+            DesiredUpdate(items, (), 1),
+            TargetUpdate(full=True, present=listed, gone=(), age_seconds=0),
+        ):
+            link.send(encode_fleet_message(message))
+
+
+def _ignore(_link: Link, _frame: bytes = b'') -> None:
+    """Do nothing with an event."""
+
+
+def _ask() -> urllib3.BaseHTTPResponse:
+    return urllib3.request(
+        'POST',
+        f'http://{_settings().client_address}/orders/1',
+        headers={'id': '1'},
+        retries=False,
+        timeout=_DEADLINE_SECONDS,
+    )
