--- a/libraries/ctl/plantainstand_ctl/_arguments.py
+++ b/libraries/ctl/plantainstand_ctl/_arguments.py
@@ -33,6 +33,7 @@
     _add_settings(groups)
     _add_status(groups)
     _add_request(groups)
+    _add_logs(groups)
     return parser
 
 
@@ -107,6 +108,14 @@
         _action(actions, name, text).add_argument('id', metavar='ID')
 
 
+def _add_logs(groups: Any) -> None:
+    actions = _group(groups, 'logs', 'read collected logs; asks no daemon')
+    text = 'show what happened to a request, and what its VM learned before'
+    explaining = _action(actions, 'explain', text)
+    explaining.add_argument('id', metavar='ID')
+    explaining.add_argument('files', metavar='FILE', nargs='+')
+
+
 def _group(groups: Any, name: str, text: str) -> Any:
     parser = groups.add_parser(name, help=text, description=text)
     return parser.add_subparsers(dest='action', required=True)
--- a/libraries/ctl/plantainstand_ctl/_main.py
+++ b/libraries/ctl/plantainstand_ctl/_main.py
@@ -14,6 +14,7 @@
 from plantainstand_ctl import (
     _catalogue_commands,
     _drain_commands,
+    _log_commands,
     _request_commands,
     _status_commands,
 )
@@ -132,7 +133,9 @@
     return lambda call: command(call.client, RequestId(call.arguments.id))
 
 
-_OFFLINE = frozenset(('catalogue check', 'settings check'))
+_OFFLINE = frozenset(
+    ('catalogue check', 'settings check', 'logs explain'),
+)
 
 _COMMANDS: Mapping[str, Callable[[_Call], CommandResult]] = MappingProxyType(
     {
@@ -157,6 +160,10 @@
             call.client,
             call.arguments.revision,
         ),
+        'logs explain': lambda call: _log_commands.explain_request(
+            call.arguments.id,
+            [Path(name) for name in call.arguments.files],
+        ),
         'request show': _request(_request_commands.show_request),
         'request cancel': _request(_request_commands.cancel_request),
     }
--- /dev/null
+++ b/tests/ctl/test_log_commands.py
@@ -0,0 +1,44 @@
+"""The story of a request, told from recorded lines."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from plantainstand_ctl._log_commands import explain_request
+
+_LINES = """\
+{"control":"10.3.0.24","event":"control VM lost","timestamp":"2026-03-12T22:00:01.000000Z"}
+{"ready":true,"event":"readiness changed","timestamp":"2026-03-12T22:32:51.435039Z"}
+  8.2 front-norte-b-1 {"control":"10.1.0.5","connected":3,"event":"control VM lost","timestamp":"2026-03-12T22:32:56.000000Z"}
+not JSON
+{"request":"other","event":"request","status":200,"timestamp":"2026-03-12T22:32:57.000000Z"}
+{"request":"f591098222378a4b","target":"i-cda34e5d11","failure":"timed out","detail":"no answer","event":"attempt failed","level":"info","timestamp":"2026-03-12T22:32:58.626658Z"}
+{"request":"f591098222378a4b","target":"i-cda34e5d11","sends":1,"maybe_ran":true,"status":504,"outcome":"outcome unknown","ms":400,"event":"request","level":"info","timestamp":"2026-03-12T22:32:58.626814Z"}
+{"request":"cut","""  # noqa: E501
+
+
+class ExplainTests(unittest.TestCase):
+    """Lines of other requests and of long before would hide the cause."""
+
+    def setUp(self) -> None:
+        """Write the recorded lines to a file."""
+        folder = self.enterContext(TemporaryDirectory())
+        self.path = Path(folder) / 'entry.log'
+        self.path.write_text(_LINES, encoding='utf-8')
+
+    def test_story(self) -> None:
+        """What the VM learned shortly before, then the request's lines."""
+        report = explain_request('f591098222378a4b', [self.path]).unwrap()
+        events = [line.split(': ')[0].split(' ', 1)[1] for line in report.lines]
+        self.assertEqual(
+            events,
+            ['control VM lost', 'attempt failed', 'request'],
+        )
+        self.assertIn('failure=timed out', report.lines[1])
+
+    def test_problems(self) -> None:
+        """An unknown id and a missing file are told apart."""
+        unknown = explain_request('none', [self.path]).unwrap_err()
+        self.assertIn('none', unknown.message)
+        missing = explain_request('1', [Path('missing.log')]).unwrap_err()
+        self.assertIn('missing.log', missing.message)
