--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -1,5 +1,6 @@
 """Serves one request: route, target, attempts, answer."""
 
+import asyncio
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -102,8 +103,8 @@
         journey = self._begin(request, facts, match)
         try:
             return await self._serve(journey)
-        except BaseException:
-            # A cancelled task means that the client has left.
+        except asyncio.CancelledError:
+            # The server cancels a request when its client has left.
             self._note(journey, 0, 'client left')
             raise
 
