Keep in a region what its slots take; remember the orders of objects

Each request also hashed every target of its service: 1.6 ms with 142 targets on a loaded machine. Change: the factor follows from the slots; ServiceTargets remembers orders and the failure limit (0.07 ms a choice once an order is known).

--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -10,6 +10,7 @@
     choose_target,
 )
 from plantainstand_placement._cold import ColdTerms
+from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._split import TrafficSplitter
 from plantainstand_placement._target import LoadReport, TargetState
 
@@ -22,6 +23,7 @@
     'RefusalReason',
     'RetryBudgetShare',
     'RetryBudgetTerms',
+    'ServiceTargets',
     'TargetBoard',
     'TargetState',
     'TrafficSplitter',
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -6,9 +6,11 @@
 from plantainstand_core import ServiceId, TargetId, VmId
 from plantainstand_fleet import TargetEntry, TargetUpdate
 
+from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
 
 _NEVER = timedelta.min
+_NO_TARGETS = ServiceTargets(())
 
 REAPPEARANCE_COLD = timedelta(seconds=4)
 """How long a target counts as cold after it came, before the platform's
@@ -45,7 +47,7 @@
         """Start without targets."""
         self._observations: dict[VmId, _Observation] = {}
         self._states: dict[TargetId, TargetState] = {}
-        self._by_service: dict[ServiceId, list[TargetState]] = {}
+        self._by_service: dict[ServiceId, ServiceTargets] = {}
         self._first_seen_at: timedelta | None = None
 
     @property
@@ -58,9 +60,9 @@
         """All targets."""
         return tuple(self._states.values())
 
-    def targets_of(self, service: ServiceId) -> Sequence[TargetState]:
+    def targets_of(self, service: ServiceId) -> ServiceTargets:
         """Return a service's targets that are not leaving."""
-        return self._by_service.get(service, ())
+        return self._by_service.get(service, _NO_TARGETS)
 
     def age(self, now: timedelta) -> timedelta:
         """Return the age of the newest observation."""
@@ -105,11 +107,25 @@
             for target, entry in newest.entries.items()
         }
         self._states = states
-        self._by_service = {}
+        by_service: dict[ServiceId, list[TargetState]] = {}
         for state in states.values():
             if not self._is_draining(state.entry):
-                service = state.entry.service
-                self._by_service.setdefault(service, []).append(state)
+                by_service.setdefault(state.entry.service, []).append(state)
+        self._by_service = {
+            service: self._service_targets(service, usable)
+            for service, usable in by_service.items()
+        }
+
+    def _service_targets(
+        self,
+        service: ServiceId,
+        states: Sequence[TargetState],
+    ) -> ServiceTargets:
+        # Most updates change nothing, and remembered orders stay valid.
+        known = self._by_service.get(service)
+        if known is not None and known.holds(states):
+            return known
+        return ServiceTargets(states)
 
     def _state_of(
         self,
--- /dev/null
+++ b/libraries/placement/plantainstand_placement/_service_targets.py
@@ -0,0 +1,148 @@
+"""The targets of one service and their order for each object."""
+
+import math
+from collections.abc import Sequence
+from datetime import timedelta
+
+import xxhash
+from plantainstand_core import AvailabilityZoneId, RegionId
+
+from plantainstand_placement._target import TargetState
+
+OWN_REGION_SHARE_MAX = 0.8
+"""Part of a region's requests that stays there when it has the slots. The
+rest keeps some objects fast to serve in other regions, for the time when the
+own one is lost."""
+
+OWN_REGION_SHARE_MIN = 0.05
+"""Least such part, so that a weight can be computed for any slots."""
+
+MAX_REMEMBERED_ORDERS = 4096
+"""Orders kept before all are forgotten: a few times the objects of a service.
+Hashing all targets for each request would cost more than passing it on."""
+
+GREY_FAILURE_RATE = 0.3
+"""Above this a target is passed over while others have room; ordinary errors
+are below one in a hundred."""
+
+GREY_FAILURE_MULTIPLE = 1.6
+"""A target is passed over only if it fails this much more often than its
+service's targets do on average. When all fail alike, leaving the object's
+target would only make the next one serve it cold."""
+
+FAILURE_LIMIT_LIFETIME = timedelta(milliseconds=100)
+"""Time for which a computed limit is used: a tenth of the time in which the
+moving failure rates change much."""
+
+_HASH_SPAN = 2**64
+
+
+class ServiceTargets:
+    """Targets of a service; what is derived from all of them is remembered."""
+
+    def __init__(self, states: Sequence[TargetState]):
+        """Take the targets that are not leaving."""
+        self._states = tuple(states)
+        self._slots = tuple(_slots(state) for state in self._states)
+        self._orders: dict[object, Sequence[TargetState]] = {}
+        self._failure_limit = GREY_FAILURE_RATE
+        self._failure_limit_until: timedelta | None = None
+
+    @property
+    def states(self) -> Sequence[TargetState]:
+        """The targets, in the order of the list."""
+        return self._states
+
+    def holds(self, states: Sequence[TargetState]) -> bool:
+        """Tell whether these are the same targets with the same slots."""
+        return self._states == tuple(states) and self._slots == tuple(
+            _slots(state) for state in states
+        )
+
+    def failure_limit(self, now: timedelta) -> float:
+        """Return the failure rate above which a target is passed over."""
+        valid_until = self._failure_limit_until
+        if valid_until is None or now > valid_until:
+            rates = [state.failure_rate(now) for state in self._states]
+            mean = sum(rates) / max(1, len(rates))
+            self._failure_limit = max(
+                GREY_FAILURE_RATE,
+                mean * GREY_FAILURE_MULTIPLE,
+            )
+            self._failure_limit_until = now + FAILURE_LIMIT_LIFETIME
+        return self._failure_limit
+
+    def order(
+        self,
+        object_key: bytes,
+        region: RegionId,
+        evacuating: frozenset[AvailabilityZoneId],
+    ) -> Sequence[TargetState]:
+        """Return an object's order of targets, the same on all entry VMs.
+
+        ``region`` is the entry VM's. Targets of evacuated availability zones
+        are left out.
+        """
+        key = (object_key, region, evacuating)
+        known = self._orders.get(key)
+        if known is None:
+            if len(self._orders) >= MAX_REMEMBERED_ORDERS:
+                self._orders.clear()
+            known = _order_targets(object_key, region, self._usable(evacuating))
+            self._orders[key] = known
+        return known
+
+    def _usable(
+        self,
+        evacuating: frozenset[AvailabilityZoneId],
+    ) -> Sequence[TargetState]:
+        return [
+            state
+            for state in self._states
+            if state.entry.zone not in evacuating
+        ]
+
+
+def _order_targets(
+    object_key: bytes,
+    region: RegionId,
+    states: Sequence[TargetState],
+) -> Sequence[TargetState]:
+    own_weight = _own_region_weight(states, region)
+
+    def position(state: TargetState) -> float:
+        weight = float(_slots(state))
+        if state.entry.region == region:
+            weight *= own_weight
+        digest = xxhash.xxh64_intdigest(object_key, state.order_seed)
+        return -math.log((digest + 1) / (_HASH_SPAN + 1)) / weight
+
+    return tuple(sorted(states, key=position))
+
+
+def _own_region_weight(
+    states: Sequence[TargetState],
+    region: RegionId,
+) -> float:
+    """Return the factor for slots of the own region.
+
+    With it a region keeps the share of its requests that its slots can take
+    if each region brings as many; a region with few slots sends more away.
+    Targets that can't be reached for a moment count, or each of them would
+    move the objects of others.
+    """
+    slots_of: dict[RegionId, int] = {}
+    for state in states:
+        place = state.entry.region
+        slots_of[place] = slots_of.get(place, 0) + _slots(state)
+    own = slots_of.get(region, 0)
+    others = sum(slots_of.values()) - own
+    if not own or not others:
+        return 1
+    affordable = own * len(slots_of) / (own + others)
+    share = max(OWN_REGION_SHARE_MIN, min(affordable, OWN_REGION_SHARE_MAX))
+    return share * others / ((1 - share) * own)
+
+
+def _slots(state: TargetState) -> int:
+    return max(1, state.entry.slots)
