--- a/tests/bench/test_recovery.py
+++ b/tests/bench/test_recovery.py
@@ -19,7 +19,7 @@
     def test_recovers_in_time(self) -> None:
         """Each loss is repaired within the operators' bounds."""
         with TemporaryDirectory() as folder:
-            figures = measure_recovery(Path(folder), (2,))
+            figures = dict(measure_recovery(Path(folder), (2,)))
         self.assertLess(
             figures.pop('entry_start_to_ready_ms_2_vms'),
             _START_LIMIT_MS,
