Shorten the outage after all VMs restart: earlier first election, reports at once

Ruled out: the list and the links; both are there before the election ends. Change: the first election comes after 0.2 to 0.5 s, which a living leader prevents by two heartbeats; readiness is reported when it changes and on each new link; the list is read at the start.

--- a/libraries/consensus/plantainstand_consensus/_state.py
+++ b/libraries/consensus/plantainstand_consensus/_state.py
@@ -15,6 +15,12 @@
 ELECTION_TIMEOUT_MIN = HEARTBEAT_INTERVAL * 5
 ELECTION_TIMEOUT_MAX = ELECTION_TIMEOUT_MIN * 2
 
+FIRST_ELECTION_TIMEOUT_MIN = HEARTBEAT_INTERVAL * 2
+FIRST_ELECTION_TIMEOUT_MAX = HEARTBEAT_INTERVAL * 5
+"""Time after a start until a replica that hears no leader stands for election.
+A leader that lives is heard within two heartbeats, and voters that hear it
+refuse; when all have restarted, every request waits for this election."""
+
 LEADER_TENURE = timedelta(seconds=1)
 """A leader without answers of a majority for this long steps down."""
 
@@ -55,8 +61,11 @@
     election_deadline: timedelta = field(init=False)
 
     def __post_init__(self) -> None:
-        """Wait a whole election timeout after the start."""
-        self.reset_election_deadline()
+        """Wait for a living leader before standing for election."""
+        self.election_deadline = self.now + self._random_duration(
+            FIRST_ELECTION_TIMEOUT_MIN,
+            FIRST_ELECTION_TIMEOUT_MAX,
+        )
 
     @property
     def term(self) -> int:
@@ -82,10 +91,9 @@
 
     def reset_election_deadline(self) -> None:
         """Draw a new election timeout."""
-        spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
-        share = self.random_source.random()
-        self.election_deadline = (
-            self.now + ELECTION_TIMEOUT_MIN + spread * share
+        self.election_deadline = self.now + self._random_duration(
+            ELECTION_TIMEOUT_MIN,
+            ELECTION_TIMEOUT_MAX,
         )
 
     def store_hard_state(self, hard_state: HardState) -> None:
@@ -108,3 +116,10 @@
         self.become_follower(term, leader)
         self.leader_contact = self.now
         self.reset_election_deadline()
+
+    def _random_duration(
+        self,
+        shortest: timedelta,
+        longest: timedelta,
+    ) -> timedelta:
+        return shortest + (longest - shortest) * self.random_source.random()
--- a/libraries/control/plantainstand_control/_poller.py
+++ b/libraries/control/plantainstand_control/_poller.py
@@ -86,12 +86,11 @@
         """Read until cancelled."""
         due = self._clock.monotonic()
         while True:
-            await asyncio.sleep(DUE_CHECK_INTERVAL.total_seconds())
-            if self._clock.monotonic() < due and not self._took_over():
-                continue
             began = self._clock.monotonic()
-            await self._read_once(began)
-            due = began + self._interval()
+            if began >= due or self._took_over():
+                await self._read_once(began)
+                due = began + self._interval()
+            await asyncio.sleep(DUE_CHECK_INTERVAL.total_seconds())
 
     def _interval(self) -> timedelta:
         usual = LEADER_INTERVAL if self._is_leading() else STANDBY_INTERVAL
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -28,7 +28,8 @@
 _log = structlog.get_logger()
 
 REPORT_INTERVAL = timedelta(milliseconds=500)
-"""How often the VM reports: a dead one is noticed after three reports."""
+"""How often the VM reports, besides each new link and change of readiness: a
+dead one is noticed after three reports."""
 
 MAX_CONTROL_LINKS = 9
 """Control VMs that one entry VM connects to; each brings every change."""
@@ -51,13 +52,14 @@
         settings: EntrySettings,
         beliefs: Beliefs,
         clock: Clock,
-        on_desired: Callable[[], None],
+        on_news: Callable[[], None],
     ):
-        """``on_desired`` is called after the desired state changed."""
+        """``on_news`` is called after beliefs have changed."""
         self._settings = settings
         self._beliefs = beliefs
         self._clock = clock
-        self._on_desired = on_desired
+        self._on_news = on_news
+        self._ready = False
         self._links: dict[VmId, OutgoingLink] = {}
         self._tasks: dict[VmId, asyncio.Task[None]] = {}
         self._rosters: dict[VmId, frozenset[VmId]] = {}
@@ -75,15 +77,8 @@
 
     def report(self, *, ready: bool) -> None:
         """Tell all connected control VMs how this VM is."""
-        settings = self._settings
-        frame = encode_fleet_message(
-            EntryReport(
-                settings.client_address,
-                settings.zone,
-                settings.region,
-                ready,
-            ),
-        )
+        self._ready = ready
+        frame = self._report_frame()
         for link in self._links.values():
             link.send(frame)
 
@@ -92,6 +87,17 @@
         for task in self._tasks.values():
             task.cancel()
 
+    def _report_frame(self) -> bytes:
+        settings = self._settings
+        return encode_fleet_message(
+            EntryReport(
+                settings.client_address,
+                settings.zone,
+                settings.region,
+                self._ready,
+            ),
+        )
+
     def _adjust(self) -> None:
         wanted = self._wanted()
         for gone in self._links.keys() - wanted:
@@ -122,6 +128,7 @@
         index = self._beliefs.view.index
         hello = Hello(VmRole.ENTRY, settings.vm, settings.region, index)
         link.send(encode_fleet_message(hello))
+        link.send(self._report_frame())
         _log.info('control VM connected', control=vm, desired_index=index)
 
     def _closed(self, vm: VmId) -> None:
@@ -146,6 +153,7 @@
             case TargetUpdate() as update:
                 now = self._clock.monotonic()
                 self._beliefs.board.update(vm, update, now)
+                self._on_news()
             case Roster() as roster:
                 self._take_roster(vm, roster)
             case _:
@@ -168,7 +176,7 @@
                     (order.zone, order.active) for order in update.evacuations
                 ],
             )
-            self._on_desired()
+            self._on_news()
 
     def _take_roster(self, vm: VmId, roster: Roster) -> None:
         self._rosters[vm] = frozenset(roster.controls)
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -33,8 +33,10 @@
 _log = structlog.get_logger()
 
 NOTICE_TIME = timedelta(milliseconds=3300)
-"""Time after the order to stop in which clients learn of it: three times the
-lifetime of a directory answer, and a margin."""
+"""Time after the order to stop in which clients learn of it, from the answers
+on their connections and from the directory. It leaves more than a third of the
+usual grace for requests under way; clients that keep an address longer meet a
+closed port and connect to another VM."""
 
 EXIT_MARGIN = timedelta(milliseconds=700)
 """Time before the forced end at which the process exits by itself."""
@@ -95,9 +97,10 @@
             settings,
             Beliefs(self._view, self._board, self._fleet),
             clock,
-            self._desired_changed,
+            self._beliefs_changed,
         )
         self._stopping = False
+        self._reported_ready = False
 
     @property
     def is_ready(self) -> bool:
@@ -140,20 +143,23 @@
         )
 
     async def _report_forever(self) -> None:
-        was_ready = False
         while True:
-            if self.is_ready != was_ready:
-                was_ready = self.is_ready
-                _log.info('readiness changed', ready=was_ready)
-            self._links.report(ready=was_ready)
+            self._report()
             self._pool.sweep()
             await asyncio.sleep(REPORT_INTERVAL.total_seconds())
 
+    def _report(self) -> None:
+        ready = self.is_ready
+        if ready != self._reported_ready:
+            self._reported_ready = ready
+            _log.info('readiness changed', ready=ready)
+        self._links.report(ready=ready)
+
     async def _leave(self) -> None:
         began = self._clock.monotonic()
         self._stopping = True
         _log.info('stopping', busy=self._server.busy_count)
-        self._links.report(ready=False)
+        self._report()
         self._server.begin_close()
         await self._until(lambda: self._since(began) > NOTICE_TIME)
         self._server.close_idle()
@@ -169,7 +175,13 @@
         while not reached():
             await asyncio.sleep(STOP_POLL.total_seconds())
 
-    def _desired_changed(self) -> None:
+    def _beliefs_changed(self) -> None:
+        if self.is_ready != self._reported_ready:
+            # Clients are sent here only after control VMs know.
+            self._report()
+        self._apply_desired()
+
+    def _apply_desired(self) -> None:
         limits = self._view.limits
         if limits is not None:
             self._server.limits = ClientLimits(
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -18,6 +18,7 @@
     JoinRequest,
     VoteReply,
 )
+from plantainstand_consensus._state import HEARTBEAT_INTERVAL, Role
 from plantainstand_core import DiskId, VmId
 
 _SELF = Node(VmId('a'), DiskId('1'))
@@ -36,17 +37,21 @@
     core.synced(core.take_effects().sequence)
 
 
-def _leader() -> ReplicaCore:
-    """Return a leader of term 2 that holds an entry of term 1."""
-    core = ReplicaCore(
+def _restarted(seed: int = 0) -> ReplicaCore:
+    return ReplicaCore(
         _SELF,
         Log(None, _ENTRIES),
         HardState(1),
         peers=_MEMBERS,
         founding_members=(),
-        random_source=random.Random(0),
+        random_source=random.Random(seed),
         now=_START,
     )
+
+
+def _leader() -> ReplicaCore:
+    """Return a leader of term 2 that holds an entry of term 1."""
+    core = _restarted()
     core.tick(_START + timedelta(seconds=1))
     for preliminary in (True, False):
         _sync(core)
@@ -75,6 +80,19 @@
     core.receive(node.vm, reply)
 
 
+class FirstElectionTest(unittest.TestCase):
+    """Guards against a long outage after all replicas have restarted."""
+
+    def test_stands_soon_after_a_start(self) -> None:
+        """A living leader has between two and five heartbeats."""
+        for seed in range(20):
+            core = _restarted(seed)
+            core.tick(_START + HEARTBEAT_INTERVAL * 1.9)
+            self.assertIs(core.state.role, Role.FOLLOWER)
+            core.tick(_START + HEARTBEAT_INTERVAL * 5)
+            self.assertIs(core.state.role, Role.CANDIDATE)
+
+
 class CommitTest(unittest.TestCase):
     """Guards against a commit that a later leader can undo."""
 
--- a/tests/edge/test_node.py
+++ b/tests/edge/test_node.py
@@ -10,9 +10,12 @@
 import urllib3
 from plantainstand_core import SystemClock, VmId
 from plantainstand_edge import EntryNode, EntrySettings
+from plantainstand_edge._control_links import REPORT_INTERVAL
 from plantainstand_fleet import (
     DesiredUpdate,
+    EntryReport,
     TargetUpdate,
+    decode_fleet_message,
     encode_fleet_message,
 )
 from plantainstand_links import Link, LinkEvents, LinkServer, LinkTimes
@@ -77,7 +80,8 @@
         self.addAsyncCleanup(self.stack.aclose)
         self.target = SlowTarget()
         await self.target.start(self.stack)
-        events = LinkEvents(self._greet, _ignore, _ignore)
+        self.reports: list[EntryReport] = []
+        events = LinkEvents(self._greet, self._receive, _ignore)
         server = LinkServer(events, SystemClock(), LinkTimes())
         await server.start(_HOST, _LINK_PORT, self.stack)
         self.stop = asyncio.Event()
@@ -88,6 +92,12 @@
             while not self.node.is_ready:
                 await asyncio.sleep(0.01)
 
+    async def test_readiness_is_reported_at_once(self) -> None:
+        """After a power loss, clients wait until a VM has said it is ready."""
+        async with asyncio.timeout(REPORT_INTERVAL.total_seconds() / 2):
+            while not any(report.ready for report in self.reports):
+                await asyncio.sleep(0.01)
+
     async def test_stop_answers_what_is_under_way(self) -> None:
         """A planned stop must not cut a request at its target."""
         asking = asyncio.create_task(asyncio.to_thread(_ask))
@@ -102,6 +112,11 @@
             self.assertEqual(response.headers['connection'], 'close')
             await self.running
 
+    def _receive(self, _link: Link, frame: bytes) -> None:
+        message = decode_fleet_message(frame).unwrap()
+        if isinstance(message, EntryReport):
+            self.reports.append(message)
+
     def _greet(self, link: Link) -> None:
         items = (service_item(), route_item('shop', 5, timeout=8))
         address = self.target.address
@@ -113,7 +128,7 @@
             link.send(encode_fleet_message(message))
 
 
-def _ignore(_link: Link, _frame: bytes = b'') -> None:
+def _ignore(_link: Link) -> None:
     """Do nothing with an event."""
 
 
