--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -162,7 +162,7 @@
         self._report()
         self._server.begin_close()
         await self._until(lambda: self._since(began) > NOTICE_TIME)
-        self._server.close_idle()
+        self._server.refuse_new()
         limit = self._settings.grace - EXIT_MARGIN
         await self._until(
             lambda: not self._server.busy_count or self._since(began) > limit,
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -59,6 +59,7 @@
         self._handler = handler
         self._clock = clock
         self._connections: set[_Connection] = set()
+        self._listener: asyncio.Server | None = None
         self._closing = False
 
     @property
@@ -81,6 +82,7 @@
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
+        self._listener = server
         stack.callback(self._abort_all)
         stack.callback(server.close)
         sweeping = loop.create_task(self._sweep_forever())
@@ -90,8 +92,13 @@
         """Announce with each response that the connection ends."""
         self._closing = True
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
+    def refuse_new(self) -> None:
+        """Take no new connections, and close those that wait for a request.
+
+        Clients that connect later are refused before they have sent anything.
+        """
+        if self._listener is not None:
+            self._listener.close()
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
--- a/tests/edge/test_node.py
+++ b/tests/edge/test_node.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
 import msgspec
 import urllib3
@@ -26,7 +27,9 @@
 
 _HOST = '127.0.0.1'
 _LINK_PORT = 17571
+_CLIENT_PORT = 17572
 _DEADLINE_SECONDS = 10
+_SHORT_NOTICE = timedelta(milliseconds=200)
 _ANSWER = b'HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nwhole'
 
 
@@ -34,7 +37,7 @@
     return replace(
         SETTINGS,
         vm=VmId(_HOST),
-        client_address=f'{_HOST}:17572',
+        client_address=f'{_HOST}:{_CLIENT_PORT}',
         ready_address=f'{_HOST}:17573',
         metrics_port=17574,
         link_port=_LINK_PORT,
@@ -112,6 +115,20 @@
             self.assertEqual(response.headers['connection'], 'close')
             await self.running
 
+    async def test_late_client_is_refused(self) -> None:
+        """A stopping VM must not take a request that it cannot finish."""
+        with patch('plantainstand_edge._node.NOTICE_TIME', _SHORT_NOTICE):
+            asking = asyncio.create_task(asyncio.to_thread(_ask))
+            async with asyncio.timeout(_DEADLINE_SECONDS):
+                await self.target.asked.wait()
+                self.stop.set()
+                await asyncio.sleep(_SHORT_NOTICE.total_seconds() * 2)
+                with self.assertRaises(ConnectionRefusedError):
+                    await asyncio.open_connection(_HOST, _CLIENT_PORT)
+                self.target.release.set()
+                self.assertEqual((await asking).status, 200)
+                await self.running
+
     def _receive(self, _link: Link, frame: bytes) -> None:
         message = decode_fleet_message(frame).unwrap()
         if isinstance(message, EntryReport):
