--- a/libraries/placement/plantainstand_placement/_service_targets.py
+++ b/libraries/placement/plantainstand_placement/_service_targets.py
@@ -78,10 +78,10 @@
         region: RegionId,
         evacuating: frozenset[AvailabilityZoneId],
     ) -> Sequence[TargetState]:
-        """Return an object's order of targets, the same on all entry VMs.
+        """Return an object's order of targets.
 
-        ``region`` is the entry VM's. Targets of evacuated availability zones
-        are left out.
+        It is the same on all entry VMs of a region; ``region`` is this VM's.
+        Targets of evacuated availability zones are left out.
         """
         key = (object_key, region, evacuating)
         known = self._orders.get(key)
