Pass large answers on as streams; serve pipelined idempotent requests at once

Ruled out: a larger write buffer (memory grows with the body) and waiting longer before the exit (the answer was not counted as unfinished at all).

Change: answers above 16 KiB pass through in parts with back pressure on both sides; smaller ones are still collected, so that they can be repeated. What a target sends without end is bounded: 64 KiB without body bytes, 1 MiB for other requests, and the deadline. Idempotent pipelined requests are served at once, others in turn, since clients send them again behind an answer that closes. A connection ends its output first and closes half a second later, so that unread bytes do not reset an answer on its way. A server counts as busy until the last byte has left. Request bodies of all clients are bounded at 80 MiB.

--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -60,6 +60,9 @@
     parts: tuple[WeightedService, ...]
     """Services of the route with their weights."""
 
+    large_answers: bool = False
+    """Whether answers are large enough to fill links between regions."""
+
 
 class ServicePolicy(msgspec.Struct, frozen=True, tag='service'):
     """What the targets of a service bear."""
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -56,6 +56,7 @@
     {
         'plantainstand_entry_requests_total': 'Requests by outcome.',
         'plantainstand_entry_request_seconds': 'Time to an answer, by service.',
+        'plantainstand_entry_bodies_total': 'Streamed bodies, whole or not.',
         'plantainstand_entry_connections_opened': 'Connections to targets.',
         'plantainstand_entry_controls': 'Control VMs connected.',
         'plantainstand_entry_list_age_seconds': 'Age of the target list.',
@@ -91,7 +92,11 @@
             self._metrics,
         )
         steering = RequestSteering(settings, parts, dialect, clock)
-        self._server = HttpServer(steering.handle, clock)
+        self._server = HttpServer(
+            steering.handle,
+            clock,
+            steering.may_overlap,
+        )
         self._status_server = HttpServer(self._answer_status, clock)
         self._links = ControlLinks(
             settings,
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -14,8 +14,10 @@
     FailureKind,
     Request,
     Response,
+    StreamEnd,
     TargetPool,
     encode_request,
+    read_whole,
 )
 from plantainstand_placement import (
     Choice,
@@ -23,15 +25,17 @@
     Refusal,
     RetryBudgetShare,
     TargetBoard,
+    TargetState,
     TrafficSplitter,
     choose_target,
 )
 from plantainstand_telemetry import Metrics
-from result import Err, Result
+from result import Err, Ok, Result
 
 from plantainstand_edge._dialect import Dialect, RequestFacts
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._journey import Journey
+from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
 from plantainstand_edge._settings import EntrySettings
 
@@ -57,6 +61,9 @@
 MAX_CONNECT_FAILURES = 3
 """Unreachable targets tried for one request before it is given up."""
 
+MAX_FAILURE_BYTES = 256 * 1024
+"""Longest body of a target's failure that is kept to be passed on."""
+
 SHORTEST_QUEUE_SHARE = 0.25
 """Part of the usual service time that a request may always wait: estimates
 are not exact to less."""
@@ -91,6 +98,13 @@
         self._clock = clock
         self._splitter = TrafficSplitter()
         self._times = ServiceTimes()
+        self._request_log = RequestLog(
+            parts.view,
+            parts.board,
+            self._times,
+            parts.metrics,
+            clock,
+        )
 
     async def handle(self, request: Request) -> Response:
         """Serve a request; cancelled when the client leaves."""
@@ -105,9 +119,17 @@
             return await self._serve(journey)
         except asyncio.CancelledError:
             # The server cancels a request when its client has left.
-            self._note(journey, 0, 'client left')
+            self._request_log.note(journey, 0, 'client left')
             raise
 
+    def may_overlap(self, request: Request) -> bool:
+        """Tell whether a pipelined request may be served at once."""
+        facts = self._dialect.read_facts(request)
+        if facts is None:
+            return False
+        match = self._parts.view.match(facts.host, facts.path)
+        return match is not None and match.route.idempotent
+
     def _begin(
         self,
         request: Request,
@@ -193,18 +215,36 @@
             self._dialect.target_headers(target, left),
         )
         state.began(started)
+        streamed = False
         try:
-            outcome = await self._parts.pool.exchange(
-                state.entry.address,
-                payload,
-                (self._dialect.identity_header, journey.facts.request_id),
-                left,
-                head_only=journey.request.method == b'HEAD',
-            )
+            outcome = await self._exchange(journey, state, payload, left)
+            streamed = _is_streamed(outcome)
         finally:
-            state.ended()
+            if not streamed:
+                state.ended()
         return self._conclude(journey, choice, outcome, started)
 
+    async def _exchange(
+        self,
+        journey: Journey,
+        state: TargetState,
+        payload: bytes,
+        left: timedelta,
+    ) -> Result[Answer, ExchangeFailure]:
+        outcome = await self._parts.pool.exchange(
+            state.entry.address,
+            payload,
+            (self._dialect.identity_header, journey.facts.request_id),
+            left,
+            head_only=journey.request.method == b'HEAD',
+        )
+        if isinstance(outcome, Err) or outcome.ok_value.rest is None:
+            return outcome
+        if outcome.ok_value.status < HTTPStatus.BAD_REQUEST:
+            return outcome
+        # A failure may be followed by another attempt.
+        return await read_whole(outcome.ok_value, MAX_FAILURE_BYTES)
+
     def _conclude(
         self,
         journey: Journey,
@@ -236,8 +276,21 @@
         if not failed:
             waited = choice.expected_wait
             self._times.note(journey.service, now - started - waited)
-        self._note(journey, answer.status, 'answered')
-        return Response(answer.status, answer.headers, answer.body)
+        self._request_log.note(journey, answer.status, 'answered')
+        if answer.rest is not None:
+            answer.rest.when_closed(
+                lambda end: self._close_body(journey, state, end),
+            )
+        return _pass_on(answer)
+
+    def _close_body(
+        self,
+        journey: Journey,
+        state: TargetState,
+        end: StreamEnd,
+    ) -> None:
+        state.ended()
+        self._request_log.note_body(journey, state, end)
 
     def _note_failure(
         self,
@@ -284,14 +337,16 @@
         """Answer without a success, saying no more than what is known."""
         answer = journey.last_answer
         if answer is not None:
-            self._note(journey, answer.status, 'passed on a failure')
-            return Response(answer.status, answer.headers, answer.body)
+            self._request_log.note(
+                journey, answer.status, 'passed on a failure'
+            )
+            return _pass_on(answer)
         if not journey.maybe_ran:
             return self._not_run(journey, refusal)
         status = HTTPStatus.BAD_GATEWAY
         if journey.last_failure is FailureKind.TIMED_OUT:
             status = HTTPStatus.GATEWAY_TIMEOUT
-        self._note(journey, status, 'outcome unknown')
+        self._request_log.note(journey, status, 'outcome unknown')
         return self._own(journey.facts, status, 'the outcome is not known')
 
     def _not_run(self, journey: Journey, refusal: Refusal | None) -> Response:
@@ -307,7 +362,7 @@
             pause = refusal.retry_after
             reason = refusal.reason.value
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        self._note(journey, status, reason)
+        self._request_log.note(journey, status, reason)
         return self._own(journey.facts, status, reason, pause)
 
     def _unmatched(self, facts: RequestFacts) -> Response:
@@ -342,43 +397,15 @@
         headers = self._dialect.refusal_headers(request_id, pause)
         return Response(status, headers, reason.encode())
 
-    def _note(self, journey: Journey, status: int, outcome: str) -> None:
-        now = self._clock.monotonic()
-        parts = self._parts
-        duration = now - journey.request.received_at
-        parts.metrics.count(
-            'plantainstand_entry_requests_total',
-            outcome=outcome,
-        )
-        parts.metrics.observe(
-            'plantainstand_entry_request_seconds',
-            duration.total_seconds(),
-            service=journey.service,
-        )
-        _log.info(
-            'request',
-            request=journey.facts.log_id,
-            route=journey.match.name,
-            route_version=journey.match.version,
-            desired_index=parts.view.index,
-            list_age_s=round(parts.board.age(now).total_seconds(), 2),
-            service=journey.service,
-            object=_as_text(journey.facts.object_key),
-            target=journey.last_target,
-            target_rank=journey.last_rank,
-            expected_wait_ms=_milliseconds(journey.last_expected_wait),
-            service_time_ms=_milliseconds(self._times.of(journey.service)),
-            sends=journey.sends,
-            maybe_ran=journey.maybe_ran,
-            status=int(status),
-            outcome=outcome,
-            ms=_milliseconds(duration),
-        )
-
 
-def _milliseconds(duration: timedelta) -> int:
-    return round(duration / timedelta(milliseconds=1))
+def _is_streamed(outcome: Result[Answer, ExchangeFailure]) -> bool:
+    return isinstance(outcome, Ok) and outcome.ok_value.rest is not None
 
 
-def _as_text(object_key: bytes | None) -> str | None:
-    return None if object_key is None else object_key.decode('latin-1')
+def _pass_on(answer: Answer) -> Response:
+    return Response(
+        answer.status,
+        answer.headers,
+        answer.body,
+        rest=answer.rest,
+    )
--- a/libraries/http/plantainstand_http/__init__.py
+++ b/libraries/http/plantainstand_http/__init__.py
@@ -1,11 +1,7 @@
 """HTTP/1.1 server and pooled client on one event loop."""
 
-from plantainstand_http._client import (
-    Answer,
-    ExchangeFailure,
-    FailureKind,
-    TargetPool,
-)
+from plantainstand_http._answer_reader import Answer
+from plantainstand_http._client import TargetPool, read_whole
 from plantainstand_http._messages import (
     Headers,
     Request,
@@ -14,14 +10,19 @@
     header_value,
     json_response,
 )
-from plantainstand_http._server import (
-    ClientLimits,
-    Handler,
-    HttpServer,
+from plantainstand_http._pipeline import ClientLimits, Handler
+from plantainstand_http._server import HttpServer
+from plantainstand_http._stream import (
+    BodyStream,
+    ExchangeFailure,
+    FailureKind,
+    StreamEnd,
+    StreamSource,
 )
 
 __all__ = (
     'Answer',
+    'BodyStream',
     'ClientLimits',
     'ExchangeFailure',
     'FailureKind',
@@ -30,8 +31,11 @@
     'HttpServer',
     'Request',
     'Response',
+    'StreamEnd',
+    'StreamSource',
     'TargetPool',
     'encode_request',
     'header_value',
     'json_response',
+    'read_whole',
 )
--- /dev/null
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -0,0 +1,143 @@
+"""One connection to a target; it carries one exchange at a time."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from plantainstand_core import Clock
+from result import Err, Ok, Result
+
+from plantainstand_http._answer_reader import Answer, AnswerReader, Identity
+from plantainstand_http._stream import (
+    ExchangeFailure,
+    FailureKind,
+    StreamSource,
+)
+
+ExchangeResult = Result[Answer, ExchangeFailure]
+
+
+class TargetConnection(asyncio.Protocol):
+    """Sends requests and hands over their answers, one after the other."""
+
+    def __init__(self, clock: Clock):
+        """Wait for the connection to be made."""
+        self._clock = clock
+        self._transport: asyncio.Transport | None = None
+        self._reader = AnswerReader(
+            StreamSource(self._pause, self._resume, self.abort),
+            self._deliver,
+            self._complete,
+        )
+        self._waiter: asyncio.Future[ExchangeResult] | None = None
+        self._released: Callable[[], None] | None = None
+        self._expiry: asyncio.TimerHandle | None = None
+        self._idle_since = clock.monotonic()
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent on it now."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        idle = self._clock.monotonic() - self._idle_since
+        return self._reader.may_reuse and idle < self._reader.idle_limit
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :class:`asyncio.Protocol`."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+
+    def send(
+        self,
+        payload: bytes,
+        identity: Identity,
+        released: Callable[[], None],
+        *,
+        head_only: bool,
+    ) -> 'asyncio.Future[ExchangeResult]':
+        """Send a request; the answer must echo the identity header.
+
+        ``released`` is called once the whole answer has been read.
+        """
+        assert self._transport is not None  # noqa: S101
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._released = released
+        self._reader.expect(identity, head_only=head_only)
+        self._transport.write(payload)
+        return self._waiter
+
+    def limit_stream(self, time_left: timedelta) -> None:
+        """End an answer that is not whole after this time."""
+        if self._reader.is_expecting:
+            self._expiry = asyncio.get_running_loop().call_later(
+                max(float(0), time_left.total_seconds()),
+                self._fail,
+                FailureKind.TIMED_OUT,
+                'body not whole at the deadline',
+            )
+
+    def abort(self) -> None:
+        """Close at once, which cancels the work at the target."""
+        self._reader.may_reuse = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse bytes of the target."""
+        if not self._reader.is_expecting:
+            # Bytes without a request belong to nobody.
+            self.abort()
+            return
+        fault = self._reader.feed(chunk)
+        if fault is not None:
+            self._fail(FailureKind.BROKEN, fault)
+
+    def eof_received(self) -> bool:
+        """Complete an answer that ends with the connection."""
+        self._reader.end_input()
+        return False
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        """Fail the exchange that was under way."""
+        self._transport = None
+        detail = 'connection reset' if problem else 'connection closed'
+        self._fail(FailureKind.BROKEN, detail)
+
+    def _deliver(self, answer: Answer) -> None:
+        self._settle(Ok(answer))
+
+    def _complete(self) -> None:
+        self._stop_expiry()
+        self._idle_since = self._clock.monotonic()
+        if self._transport and self._transport.get_write_buffer_size():
+            # The target would take the rest of the body for a request.
+            self._reader.may_reuse = False
+        self._resume()
+        if self._released is not None:
+            self._released()
+
+    def _fail(self, kind: FailureKind, detail: str) -> None:
+        self._stop_expiry()
+        self.abort()
+        failure = ExchangeFailure(kind, detail)
+        self._reader.fail(failure)
+        self._settle(Err(failure))
+
+    def _settle(self, outcome: ExchangeResult) -> None:
+        waiter = self._waiter
+        self._waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(outcome)
+
+    def _stop_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+
+    def _pause(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from plantainstand_http._stream import BodyStream
+
 Headers = tuple[tuple[bytes, bytes], ...]
 """Names in lower case, with their values, in the order of arrival."""
 
@@ -47,6 +49,12 @@
     received_at: timedelta
     """Monotonic time at which the headers were complete."""
 
+    keep_alive: bool = True
+    """Whether the client may send more on the connection."""
+
+    takes_chunks: bool = True
+    """Whether the client reads bodies in chunks: HTTP/1.1, not 1.0."""
+
     @property
     def head_bytes(self) -> int:
         """Return the size of target and headers."""
@@ -66,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole response."""
+    """A response, whole or with a body that is still arriving."""
 
     status: int
     """Status code."""
@@ -80,6 +88,10 @@
     close: bool = False
     """Whether the connection ends after this response."""
 
+    rest: BodyStream | None = None
+    """Body that is passed on while it arrives, in place of ``body``. The
+    server closes it."""
+
 
 def header_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, by its lower-case name."""
@@ -128,17 +140,54 @@
     close: bool,
     head_only: bool,
 ) -> bytes:
-    """Return the bytes of a response."""
+    """Return the bytes of a whole response."""
+    framing: Headers = ()
+    if response.status not in _BODILESS_STATUSES:
+        length = _body_length(response, head_only=head_only)
+        framing = ((b'content-length', length),)
+    head = _encode_head(response, framing, close=close)
+    return head if head_only else head + response.body
+
+
+def encode_stream_head(
+    response: Response,
+    *,
+    close: bool,
+    chunked: bool,
+) -> bytes:
+    """Return the head of a response whose body follows in parts.
+
+    A body without a stated length is sent in chunks, or ends with the
+    connection.
+    """
+    framing: Headers = ()
+    length = stated_length(response)
+    if length is not None:
+        framing = ((b'content-length', b'%d' % length),)
+    elif chunked:
+        framing = ((b'transfer-encoding', b'chunked'),)
+    return _encode_head(response, framing, close=close)
+
+
+def encode_chunk(part: bytes) -> bytes:
+    """Return one chunk of a body; an empty one ends it."""
+    return b'%x\r\n%s\r\n' % (len(part), part)
+
+
+def stated_length(response: Response) -> int | None:
+    """Return the length of the body as its source stated it."""
+    stated = header_value(response.headers, b'content-length')
+    return None if stated is None else int(stated)
+
+
+def _encode_head(response: Response, framing: Headers, *, close: bool) -> bytes:
     status = response.status
     lines = [b'HTTP/1.1 %d %s' % (status, _reason(status))]
     kept = end_to_end_headers(response.headers, ())
-    lines.extend(b'%s: %s' % header for header in kept)
-    if status not in _BODILESS_STATUSES:
-        length = _body_length(response, head_only=head_only)
-        lines.append(b'content-length: %s' % length)
+    lines.extend(b'%s: %s' % header for header in (*kept, *framing))
     if close:
         lines.append(b'connection: close')
-    lines.extend((b'', b'' if head_only else response.body))
+    lines.extend((b'', b''))
     return b'\r\n'.join(lines)
 
 
--- /dev/null
+++ b/libraries/http/plantainstand_http/_output.py
@@ -0,0 +1,131 @@
+"""What one client is sent: whole answers, streams, and the end."""
+
+import asyncio
+from datetime import timedelta
+
+import structlog
+from plantainstand_core import Clock
+from result import Err
+
+from plantainstand_http._messages import (
+    Request,
+    Response,
+    encode_chunk,
+    encode_response,
+    encode_stream_head,
+    stated_length,
+)
+from plantainstand_http._stream import BodyStream
+
+_log = structlog.get_logger()
+
+CLOSE_DELAY = timedelta(milliseconds=500)
+"""Time between the end of output and the close. A close that meets bytes of
+the client resets the connection, and an answer on its way would be lost."""
+
+
+class ClientOutput:
+    """Writes to one client, no faster than the client reads."""
+
+    def __init__(self, transport: asyncio.Transport, clock: Clock):
+        """Write to a transport that its owner closes at the latest."""
+        self._transport = transport
+        self._clock = clock
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._close_at: timedelta | None = None
+        self._last_unsent_bytes = 0
+        self._progress_at = clock.monotonic()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether something can still be sent."""
+        return self._close_at is None and not self._transport.is_closing()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether bytes, or the end of output, are on their way."""
+        ending = self._close_at is not None
+        return ending or self._transport.get_write_buffer_size() > 0
+
+    def hold(self) -> None:
+        """Hold back streams while the client does not read."""
+        self._writable.clear()
+
+    def release(self) -> None:
+        """Go on with streams."""
+        self._writable.set()
+
+    def go_on(self) -> None:
+        """Ask for the body of a request whose head was read."""
+        self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    async def send(
+        self, request: Request, response: Response, *, close: bool
+    ) -> bool:
+        """Send a response; return False if it could not be sent whole."""
+        if response.rest is None:
+            head_only = request.method == b'HEAD'
+            self._transport.write(
+                encode_response(response, close=close, head_only=head_only),
+            )
+            return True
+        unsized = stated_length(response) is None
+        chunked = unsized and request.takes_chunks
+        framed = chunked or not unsized
+        self._transport.write(
+            encode_stream_head(
+                response,
+                close=close or not framed,
+                chunked=chunked,
+            ),
+        )
+        whole = await self._send_rest(response.rest, chunked=chunked)
+        if not whole:
+            self._cut(framed=framed)
+        elif not framed:
+            self.end()
+        return whole
+
+    def end(self) -> None:
+        """Send nothing more; the connection is closed a little later."""
+        if self.is_open:
+            self._close_at = self._clock.monotonic() + CLOSE_DELAY
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+
+    def check_time(self, now: timedelta, stall_limit: timedelta) -> None:
+        """Close what has ended, and what the client doesn't read."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._last_unsent_bytes or not unsent_bytes:
+            self._last_unsent_bytes = unsent_bytes
+            self._progress_at = now
+        if now - self._progress_at > stall_limit:
+            _log.info('client does not read', unsent_bytes=unsent_bytes)
+            self._transport.abort()
+        elif self._close_at is not None and now > self._close_at:
+            self._transport.close()
+
+    async def _send_rest(self, rest: BodyStream, *, chunked: bool) -> bool:
+        while True:
+            part = await rest.next_part()
+            if isinstance(part, Err) or self._transport.is_closing():
+                return False
+            if chunked:
+                self._transport.write(encode_chunk(part.ok_value))
+            elif part.ok_value:
+                self._transport.write(part.ok_value)
+            if not part.ok_value:
+                return True
+            await self._writable.wait()
+
+    def _cut(self, *, framed: bool) -> None:
+        """End the connection in the middle of an answer.
+
+        A framed answer doesn't look complete without its end; any other one
+        only if the connection is reset.
+        """
+        if framed:
+            self._transport.close()
+        else:
+            self._transport.abort()
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -27,7 +27,6 @@
         self._completed = completed
         self._expects_continue = expects_continue
         self._parser = httptools.HttpRequestParser(self)
-        self.keeps_alive = True
         self._begin()
 
     def feed(self, chunk: bytes) -> bool:
@@ -74,8 +73,9 @@
             headers=tuple(self._headers),
             body=b''.join(self._body),
             received_at=self._received_at,
+            keep_alive=self._parser.should_keep_alive(),
+            takes_chunks=self._parser.get_http_version() != '1.0',
         )
-        self.keeps_alive = self._parser.should_keep_alive()
         self._begin()
         self._completed(request)
 
--- a/tests/http/scripted_target.py
+++ b/tests/http/scripted_target.py
@@ -47,7 +47,8 @@
             head = await reader.readuntil(b'\r\n\r\n')
             self.received.append(head)
             writer.write(answer)
-            await writer.drain()
+            with suppress(ConnectionError):
+                await writer.drain()
         if script.end == 'reset':
             await _reset(writer)
         elif script.end == 'close':
--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -124,3 +124,26 @@
         body = msgspec.json.encode({'upsert': {'limits': dict(_LIMITS)}})
         item = decode_patch(body).unwrap()[0]
         self.assertIs(item.kind, ItemKind.LIMITS)
+
+
+class RouteTypeTests(unittest.TestCase):
+    """Which requests may run more than once."""
+
+    def test_kinds(self) -> None:
+        """An unnamed kind is refused, since nothing is known of it."""
+        cases = (
+            ('safe', True, False),
+            ('download', True, True),
+            ('unsafe', False, False),
+            ('odd', None, None),
+        )
+        for kind, idempotent, large in cases:
+            with self.subTest(kind):
+                decoded = decode_patch(_patch(routeType=kind))
+                if idempotent is None:
+                    self.assertIsInstance(decoded, Err)
+                    continue
+                route = decoded.unwrap()[0].body
+                assert isinstance(route, Route)
+                self.assertEqual(route.idempotent, idempotent)
+                self.assertEqual(route.large_answers, large)
