--- a/libraries/core/plantainstand_core/_clock.py
+++ b/libraries/core/plantainstand_core/_clock.py
@@ -23,8 +23,12 @@
     """Clock of the operating system."""
 
     def monotonic(self) -> timedelta:
-        """See :meth:`Clock.monotonic`."""
-        return timedelta(seconds=time.monotonic())
+        """See :meth:`Clock.monotonic`.
+
+        It counts the time for which the machine is suspended: a lease, a list
+        or an answer ages meanwhile.
+        """
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def wall(self) -> datetime:
         """See :meth:`Clock.wall`."""
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -1,5 +1,6 @@
 """Messages between entry VMs and control VMs."""
 
+from plantainstand_fleet._listing import TargetListing
 from plantainstand_fleet._messages import (
     DesiredUpdate,
     EntryReport,
@@ -22,6 +23,7 @@
     'ReplicaMessage',
     'Roster',
     'TargetEntry',
+    'TargetListing',
     'TargetUpdate',
     'VmRole',
     'decode_fleet_message',
