Directory that knows all entry VMs whatever control VM they report to

Cause: an entry VM linked to the first nine control VMs by address, so others had no reports and their directory answers named nobody; and the first 64 addresses of a region were always the same, so later VMs got no clients.

Of more than 64 VMs, clients of a zone get those of the zone and a fixed choice of the others. Before a count is heard, sums are shared by 400 VMs instead of 16.

--- a/libraries/control/plantainstand_control/__init__.py
+++ b/libraries/control/plantainstand_control/__init__.py
@@ -2,6 +2,7 @@
 
 from plantainstand_control._directory import (
     DIRECTORY_LIFETIME,
+    ClientPlace,
     EntryVm,
     choose_entries,
 )
@@ -17,6 +18,7 @@
 
 __all__ = (
     'DIRECTORY_LIFETIME',
+    'ClientPlace',
     'ControlNode',
     'ControlSettings',
     'Elsewhere',
--- a/libraries/control/plantainstand_control/_directory.py
+++ b/libraries/control/plantainstand_control/_directory.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import xxhash
 from plantainstand_core import AvailabilityZoneId, RegionId
 
 DIRECTORY_LIFETIME = timedelta(seconds=4)
@@ -26,17 +27,34 @@
     ready: bool
 
 
+@dataclass(frozen=True)
+class ClientPlace:
+    """Where a client is."""
+
+    region: RegionId
+    zone: AvailabilityZoneId
+
+
 def choose_entries(
     entries: Collection[EntryVm],
-    region: RegionId,
+    client: ClientPlace,
     homes: frozenset[RegionId],
 ) -> Sequence[str]:
     """Return the addresses of the ready VMs nearest to a client.
 
     All VMs of the client's region take part: its zones are close to each
     other, and a single VM in a zone would be overloaded or missed. Without
-    any, those of the home regions of the host answer, or all others.
+    any, those of the home regions of the host answer, or all others. Where
+    there are too many, those of the client's zone come first and others are
+    the same for all clients of a zone, so that each VM gets clients and they
+    keep their connections.
     """
+
+    def preference(entry: EntryVm) -> tuple[bool, int]:
+        place = f'{client.zone}/{entry.client_address}'.encode()
+        return (entry.zone != client.zone, xxhash.xxh64_intdigest(place))
+
+    region = client.region
     ready = [entry for entry in entries if entry.ready]
     choices: tuple[Callable[[EntryVm], bool], ...] = (
         lambda entry: entry.region == region,
@@ -44,7 +62,10 @@
         lambda _entry: True,
     )
     for suits in choices:
-        addresses = [each.client_address for each in ready if suits(each)]
-        if addresses:
-            return sorted(addresses)[:MAX_ADDRESSES]
+        chosen = [each for each in ready if suits(each)]
+        if len(chosen) > MAX_ADDRESSES:
+            chosen.sort(key=preference)
+        if chosen:
+            nearest = chosen[:MAX_ADDRESSES]
+            return sorted(each.client_address for each in nearest)
     return ()
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -10,10 +10,11 @@
 
 import structlog
 from plantainstand_consensus import decode_message
-from plantainstand_core import Clock, LogIndex, RegionId, VmId
+from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredState, DesiredView
 from plantainstand_fleet import (
     DesiredUpdate,
+    EntryChanges,
     EntryReport,
     FleetMessage,
     Hello,
@@ -30,7 +31,8 @@
 from plantainstand_telemetry import Metrics
 from result import Err
 
-from plantainstand_control._directory import EntryVm, choose_entries
+from plantainstand_control._directory import ClientPlace, choose_entries
+from plantainstand_control._entries import EntryRegister
 from plantainstand_control._members import MemberFacts, choose_members
 from plantainstand_control._operator import OperatorService
 from plantainstand_control._peers import Peers
@@ -70,7 +72,6 @@
     sent_through: LogIndex
     """Log index up to which its desired state is complete."""
 
-    report: EntryReport | None = None
     listing: TargetListing = field(default_factory=TargetListing)
     """Targets as a control VM has read them."""
 
@@ -93,7 +94,10 @@
         self._peers = Peers(
             settings,
             clock,
-            lambda: self._poller.opening_messages(),
+            lambda: (
+                *self._poller.opening_messages(),
+                self._entries.all_own(),
+            ),
         )
         self._replicas = ReplicaRunner(settings, self._new_state, self._peers)
         self._poller = ListPoller(
@@ -104,6 +108,7 @@
             settings.list_calls_per_second,
         )
         self._callers: dict[Link, _Caller] = {}
+        self._entries = EntryRegister(self._peers.broadcast)
         self._homes = DesiredView()
         self._metrics = Metrics(METRIC_HELP)
         self._metrics_server = HttpServer(self._answer_metrics, clock)
@@ -117,20 +122,10 @@
         _log.info('settings reloaded', seeds=list(seeds))
         self._peers.replace_seeds(seeds)
 
-    def entry_addresses(self, host: str, region: RegionId) -> Sequence[str]:
-        """Return where a client of a region reaches a host."""
-        entries = [
-            EntryVm(
-                caller.report.client_address,
-                caller.report.zone,
-                caller.report.region,
-                caller.report.ready,
-            )
-            for caller in self._callers.values()
-            if caller.report is not None
-        ]
+    def entry_addresses(self, host: str, client: ClientPlace) -> Sequence[str]:
+        """Return where a client reaches a host."""
         homes = self._homes.homes_of_host(host)
-        return choose_entries(entries, region, homes)
+        return choose_entries(self._entries.known(), client, homes)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set."""
@@ -185,7 +180,7 @@
             return
         facts = MemberFacts(
             status.members,
-            self._peers.live(),
+            {vm: place.region for vm, place in self._peers.live().items()},
             self._settings.tolerated_losses,
         )
         members = choose_members(facts)
@@ -201,10 +196,11 @@
         )
 
     def _send_rosters(self) -> None:
-        entry_count = sum(
-            caller.report is not None for caller in self._callers.values()
+        places = self._peers.live()
+        roster = Roster(
+            tuple(places[vm] for vm in sorted(places)),
+            len(self._entries.known()),
         )
-        roster = Roster(tuple(sorted(self._peers.live())), entry_count)
         self._peers.broadcast(roster)
         frame = encode_fleet_message(roster)
         for link, caller in self._callers.items():
@@ -226,7 +222,7 @@
         if isinstance(message, Hello):
             self._greet(link, message)
         elif caller is not None:
-            self._take(caller, message)
+            self._take(link, caller, message)
 
     def _greet(self, link: Link, hello: Hello) -> None:
         index = LogIndex(hello.desired_index)
@@ -240,19 +236,21 @@
         if full is not None:
             link.send(encode_fleet_message(full))
 
-    def _take(self, caller: _Caller, message: FleetMessage) -> None:
+    def _take(
+        self,
+        link: Link,
+        caller: _Caller,
+        message: FleetMessage,
+    ) -> None:
         match message:
             case ReplicaMessage(payload):
                 self._peers.heard(caller.vm)
                 self._deliver(caller.vm, payload)
             case EntryReport():
-                if caller.report is None or caller.report != message:
-                    _log.info(
-                        'entry VM reports',
-                        entry=caller.vm,
-                        ready=message.ready,
-                    )
-                caller.report = message
+                self._entries.report(link, caller.vm, message)
+            case EntryChanges():
+                self._peers.heard(caller.vm)
+                self._entries.take(link, message)
             case TargetUpdate():
                 self._peers.heard(caller.vm)
                 caller.listing.take(message, self._clock.monotonic())
@@ -272,9 +270,8 @@
             replica.deliver(source, decoded.ok_value)
 
     def _closed(self, link: Link) -> None:
-        caller = self._callers.pop(link, None)
-        if caller is not None and caller.role is VmRole.ENTRY:
-            _log.info('entry VM lost', entry=caller.vm)
+        self._callers.pop(link, None)
+        self._entries.closed(link)
 
     def _schedule_publish(self) -> None:
         if not self._publish_scheduled:
@@ -313,7 +310,7 @@
     async def _answer_metrics(self, _request: Request) -> Response:
         prefix = 'plantainstand_control_'
         readings = {
-            'entries': len(self._callers),
+            'entries': len(self._entries.known()),
             'peers': len(self._peers.live()),
             'applied_index': self._publishing.index,
             'leading': self._replicas.leader == self._settings.vm,
--- a/libraries/control/plantainstand_control/_peers.py
+++ b/libraries/control/plantainstand_control/_peers.py
@@ -5,8 +5,9 @@
 from datetime import timedelta
 
 from plantainstand_consensus import Message, encode_message
-from plantainstand_core import Clock, RegionId, VmId
+from plantainstand_core import Clock, VmId
 from plantainstand_fleet import (
+    ControlPlace,
     FleetMessage,
     Hello,
     ReplicaMessage,
@@ -47,21 +48,21 @@
         self._members: tuple[VmId, ...] = ()
         self._heard_at: dict[VmId, timedelta] = {}
         self._named_at: dict[VmId, timedelta] = {}
-        self._regions: dict[VmId, RegionId] = {}
+        self._places: dict[VmId, ControlPlace] = {}
 
     @property
     def known(self) -> tuple[VmId, ...]:
         """All control VMs that are looked for, this one left out."""
         return tuple(sorted(self._links))
 
-    def live(self) -> dict[VmId, RegionId]:
+    def live(self) -> dict[VmId, ControlPlace]:
         """Return the control VMs heard lately, this one included."""
         now = self._clock.monotonic()
-        settings = self._settings
+        own = self._settings
         return {
-            settings.vm: settings.region,
+            own.vm: ControlPlace(own.vm, own.zone, own.region),
             **{
-                vm: self._regions[vm]
+                vm: self._places[vm]
                 for vm, heard_at in self._heard_at.items()
                 if now - heard_at < LIVE_LIMIT
             },
@@ -85,20 +86,21 @@
 
     def greeted(self, hello: Hello) -> None:
         """Note a control VM that connected."""
-        self._regions[hello.vm] = hello.region
+        place = ControlPlace(hello.vm, hello.zone, hello.region)
+        self._places[hello.vm] = place
         self.heard(hello.vm)
 
     def heard(self, vm: VmId) -> None:
         """Note a message of a control VM."""
-        if vm in self._regions:
+        if vm in self._places:
             now = self._clock.monotonic()
             self._heard_at[vm] = now
             self._named_at[vm] = now
 
-    def named(self, controls: Collection[VmId]) -> None:
+    def named(self, controls: Collection[ControlPlace]) -> None:
         """Note control VMs that another one knows to be live."""
         now = self._clock.monotonic()
-        self._named_at.update((vm, now) for vm in controls)
+        self._named_at.update((place.vm, now) for place in controls)
 
     def adjust(self, members: Collection[VmId]) -> None:
         """Open links to all that are known, end those to forgotten ones."""
@@ -144,6 +146,12 @@
 
     def _opened(self, link: Link) -> None:
         settings = self._settings
-        hello = Hello(VmRole.CONTROL, settings.vm, settings.region, 0)
+        hello = Hello(
+            VmRole.CONTROL,
+            settings.vm,
+            settings.zone,
+            settings.region,
+            0,
+        )
         for message in (hello, *self._opening()):
             link.send(encode_fleet_message(message))
--- a/libraries/control/plantainstand_control/_settings.py
+++ b/libraries/control/plantainstand_control/_settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from plantainstand_core import RegionId, VmId
+from plantainstand_core import AvailabilityZoneId, RegionId, VmId
 
 
 @dataclass(frozen=True)
@@ -13,6 +13,7 @@
     vm: VmId
     """Own IP address."""
 
+    zone: AvailabilityZoneId
     region: RegionId
     data_folder: Path
     link_port: int
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -9,6 +9,7 @@
 from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredView
 from plantainstand_fleet import (
+    ControlPlace,
     DesiredUpdate,
     EntryReport,
     Hello,
@@ -22,6 +23,10 @@
 from plantainstand_placement import TargetBoard
 from result import Err
 
+from plantainstand_edge._control_choice import (
+    MAX_CONTROL_LINKS,
+    choose_controls,
+)
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._settings import EntrySettings
 
@@ -31,8 +36,9 @@
 """How often the VM reports, besides each new link and change of readiness: a
 dead one is noticed after three reports."""
 
-MAX_CONTROL_LINKS = 9
-"""Control VMs that one entry VM connects to; each brings every change."""
+CONTROL_MEMORY = timedelta(minutes=5)
+"""How long a control VM that was named is tried when no other can be
+reached."""
 
 
 @dataclass(frozen=True)
@@ -62,7 +68,8 @@
         self._ready = False
         self._links: dict[VmId, OutgoingLink] = {}
         self._tasks: dict[VmId, asyncio.Task[None]] = {}
-        self._rosters: dict[VmId, frozenset[VmId]] = {}
+        self._rosters: dict[VmId, frozenset[ControlPlace]] = {}
+        self._named_at: dict[VmId, timedelta] = {}
         self._seeds = settings.seeds
 
     @property
@@ -78,6 +85,7 @@
     def report(self, *, ready: bool) -> None:
         """Tell all connected control VMs how this VM is."""
         self._ready = ready
+        self._adjust()
         frame = self._report_frame()
         for link in self._links.values():
             link.send(frame)
@@ -107,10 +115,22 @@
             self._connect(vm)
 
     def _wanted(self) -> set[VmId]:
-        listed = set(self._seeds).union(*self._rosters.values())
-        connected = {vm for vm, link in self._links.items() if link.is_open}
-        preferred = sorted(listed, key=lambda vm: (vm not in connected, vm))
-        return set(preferred[:MAX_CONTROL_LINKS])
+        settings = self._settings
+        live = frozenset[ControlPlace]().union(*self._rosters.values())
+        chosen = choose_controls(
+            settings.vm,
+            settings.zone,
+            settings.region,
+            live,
+        )
+        # Others may have come back, or be all that is left.
+        remembered = sorted(
+            self._named_at,
+            key=lambda vm: self._named_at[vm],
+            reverse=True,
+        )
+        candidates = dict.fromkeys((*chosen, *self._seeds, *remembered))
+        return set(tuple(candidates)[:MAX_CONTROL_LINKS])
 
     def _connect(self, vm: VmId) -> None:
         events = LinkEvents(
@@ -126,7 +146,13 @@
     def _opened(self, vm: VmId, link: Link) -> None:
         settings = self._settings
         index = self._beliefs.view.index
-        hello = Hello(VmRole.ENTRY, settings.vm, settings.region, index)
+        hello = Hello(
+            VmRole.ENTRY,
+            settings.vm,
+            settings.zone,
+            settings.region,
+            index,
+        )
         link.send(encode_fleet_message(hello))
         link.send(self._report_frame())
         _log.info('control VM connected', control=vm, desired_index=index)
@@ -180,5 +206,12 @@
 
     def _take_roster(self, vm: VmId, roster: Roster) -> None:
         self._rosters[vm] = frozenset(roster.controls)
+        now = self._clock.monotonic()
+        self._named_at.update((place.vm, now) for place in roster.controls)
+        self._named_at = {
+            named: at
+            for named, at in self._named_at.items()
+            if now - at < CONTROL_MEMORY
+        }
         self._beliefs.fleet.note(vm, roster.entry_count)
         self._adjust()
--- a/libraries/edge/plantainstand_edge/_fleet_size.py
+++ b/libraries/edge/plantainstand_edge/_fleet_size.py
@@ -2,7 +2,7 @@
 
 from plantainstand_core import VmId
 
-UNKNOWN_ENTRY_COUNT = 16
+UNKNOWN_ENTRY_COUNT = 400
 """Assumed before a control VM has said how many there are: more than run
 today, so that the sum stays within a limit."""
 
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -2,7 +2,9 @@
 
 from plantainstand_fleet._listing import TargetListing
 from plantainstand_fleet._messages import (
+    ControlPlace,
     DesiredUpdate,
+    EntryChanges,
     EntryReport,
     FleetMessage,
     Hello,
@@ -16,7 +18,9 @@
 )
 
 __all__ = (
+    'ControlPlace',
     'DesiredUpdate',
+    'EntryChanges',
     'EntryReport',
     'FleetMessage',
     'Hello',
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -32,6 +32,7 @@
     vm: VmId
     """IP address of the sender, its identity in the fleet."""
 
+    zone: AvailabilityZoneId
     region: RegionId
     desired_index: int
     """Newest log index whose changes the sender holds."""
@@ -87,12 +88,30 @@
     """Log index that the receiver is then complete up to."""
 
 
+class EntryChanges(_Message, frozen=True):
+    """Entry VMs that report to a control VM, told to the other ones."""
+
+    full: bool
+    """Whether every VM that is not named is gone."""
+
+    present: tuple[tuple[VmId, EntryReport], ...]
+    gone: tuple[VmId, ...]
+
+
+class ControlPlace(msgspec.Struct, frozen=True, array_like=True):
+    """A control VM, and where it is."""
+
+    vm: VmId
+    zone: AvailabilityZoneId
+    region: RegionId
+
+
 class Roster(_Message, frozen=True):
     """VMs that a control VM knows of."""
 
-    controls: tuple[VmId, ...]
+    controls: tuple[ControlPlace, ...]
     entry_count: int
-    """Entry VMs that report to it."""
+    """Entry VMs that report to any control VM."""
 
 
 class ReplicaMessage(_Message, frozen=True):
@@ -102,7 +121,13 @@
 
 
 FleetMessage = (
-    Hello | EntryReport | TargetUpdate | DesiredUpdate | Roster | ReplicaMessage
+    Hello
+    | EntryReport
+    | EntryChanges
+    | TargetUpdate
+    | DesiredUpdate
+    | Roster
+    | ReplicaMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/control/test_directory.py
+++ b/tests/control/test_directory.py
@@ -2,9 +2,12 @@
 
 import unittest
 
-from plantainstand_control import EntryVm, choose_entries
+from plantainstand_control import ClientPlace, EntryVm, choose_entries
+from plantainstand_control._directory import MAX_ADDRESSES
 from plantainstand_core import AvailabilityZoneId, RegionId
 
+_CLIENT = ClientPlace(RegionId('norte'), AvailabilityZoneId('norte-a'))
+
 
 def _entry(name: str, region: str, *, ready: bool = True) -> EntryVm:
     zone = AvailabilityZoneId(f'{region}-a')
@@ -30,7 +33,26 @@
             with self.subTest(expected):
                 chosen = choose_entries(
                     entries,
-                    RegionId('norte'),
+                    _CLIENT,
                     frozenset((RegionId('centro'),)),
                 )
                 self.assertEqual(list(chosen), expected)
+
+    def test_more_vms_than_an_answer_holds(self) -> None:
+        """Each VM of a large region must get clients, and keep them."""
+        region = RegionId('norte')
+        zones = [AvailabilityZoneId(f'norte-{name}') for name in 'abc']
+        entries = [
+            EntryVm(f'{zone}-{number}', zone, region, ready=True)
+            for zone in zones
+            for number in range(30)
+        ]
+        named: set[str] = set()
+        for zone in zones:
+            client = ClientPlace(region, zone)
+            chosen = choose_entries(entries, client, frozenset())
+            again = choose_entries(list(reversed(entries)), client, frozenset())
+            self.assertEqual(chosen, again)
+            self.assertEqual(len(chosen), MAX_ADDRESSES)
+            named.update(chosen)
+        self.assertEqual(len(named), len(entries))
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -9,7 +9,13 @@
 
 from plantainstand_control import ControlNode, ControlSettings, TargetList
 from plantainstand_control._poller import ListProblem
-from plantainstand_core import LogIndex, RegionId, SystemClock, VmId
+from plantainstand_core import (
+    AvailabilityZoneId,
+    LogIndex,
+    RegionId,
+    SystemClock,
+    VmId,
+)
 from plantainstand_desired import ChangeItems, Verdict
 from result import Ok, Result
 
@@ -66,6 +72,7 @@
         data_folder.mkdir(parents=True)
         settings = ControlSettings(
             vm=vm,
+            zone=AvailabilityZoneId(f'region-{vm[-1]}-a'),
             region=RegionId(f'region-{vm[-1]}'),
             data_folder=data_folder,
             link_port=_LINK_PORT,
