Skip target lists that change nothing; load only the own role's code

An entry VM went through all targets for each list of each control VM, six to nine times a second, though nearly all are equal; and each process loaded both roles.

Change: listings carry a digest; the board is rebuilt only if it differs, if targets are cold, or if another VM saw a target leave. The adapter has a module a role.

--- a/bench/plantainstand_bench/_recovery_benchmark.py
+++ b/bench/plantainstand_bench/_recovery_benchmark.py
@@ -73,6 +73,7 @@
         node = ControlNode(
             ControlSettings(
                 vm=vm,
+                zone=AvailabilityZoneId(f'region-{vm[-1]}-a'),
                 region=RegionId(f'region-{vm[-1]}'),
                 data_folder=data_folder,
                 link_port=_LINK_PORT,
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -31,6 +31,8 @@
         self._states: dict[TargetId, TargetState] = {}
         self._by_service: dict[ServiceId, ServiceTargets] = {}
         self._first_seen_at: timedelta | None = None
+        self._built_digest: int | None = None
+        self._has_cold = False
 
     @property
     def is_known(self) -> bool:
@@ -57,7 +59,8 @@
         """Take what a control VM saw."""
         observation = self._observations.setdefault(source, TargetListing())
         observation.take(update, now)
-        self._rebuild(now)
+        if self._is_news(update):
+            self._rebuild(now)
 
     def forget_source(self, source: VmId) -> None:
         """Drop a control VM's observation, unless it is the only one."""
@@ -78,10 +81,31 @@
             default=None,
         )
 
+    def _is_news(self, update: TargetUpdate) -> bool:
+        """Tell whether an update that was taken changes any target.
+
+        Several control VMs send the same list each second, so most don't.
+        """
+        newest = self._newest()
+        if newest is None or newest.digest != self._built_digest:
+            return True
+        if self._has_cold:
+            # The same remaining time, seen later, ends later.
+            return True
+        leaving = (each for each in update.present if each.draining)
+        return any(
+            not newest.entries.get(each.target, each).draining
+            for each in leaving
+        )
+
     def _rebuild(self, now: timedelta) -> None:
         newest = self._newest()
         if newest is None:
             return
+        self._built_digest = newest.digest
+        self._has_cold = any(
+            entry.cold_seconds > 0 for entry in newest.entries.values()
+        )
         if self._first_seen_at is None and newest.entries:
             self._first_seen_at = now
         states = {
--- a/tests/placement/test_board.py
+++ b/tests/placement/test_board.py
@@ -2,7 +2,10 @@
 
 import unittest
 from datetime import timedelta
+from unittest.mock import patch
 
+from hypothesis import given
+from hypothesis import strategies as st
 from plantainstand_core import TargetId, VmId
 from plantainstand_fleet import TargetEntry, TargetUpdate
 from plantainstand_placement import TargetBoard
@@ -73,3 +76,58 @@
         board.states[0].began(NOW)
         board.update(_SECOND, _update(entry('a')), _SECOND_LATER)
         self.assertEqual(board.states[0].in_flight, 1)
+
+
+_UPDATES = st.lists(
+    st.tuples(
+        st.sampled_from((_FIRST, _SECOND)),
+        st.booleans(),
+        st.lists(
+            st.builds(
+                entry,
+                st.sampled_from(('a', 'b', 'c')),
+                draining=st.booleans(),
+                cold_seconds=st.sampled_from((0, 0, 2)),
+                started_ms=st.sampled_from((1, 2)),
+            ),
+            max_size=3,
+        ),
+        st.lists(st.sampled_from(('a', 'b', 'c')), max_size=2),
+    ),
+    max_size=12,
+)
+
+
+class SkippedUpdateTests(unittest.TestCase):
+    """Hundreds of targets are not looked at again for each equal list."""
+
+    @given(_UPDATES)
+    def test_same_as_without_skipping(
+        self,
+        updates: list[tuple[VmId, bool, list[TargetEntry], list[str]]],
+    ) -> None:
+        """An update that changes something must never be skipped."""
+        board, reference = TargetBoard(), TargetBoard()
+        for number, (source, full, present, gone) in enumerate(updates):
+            now = NOW + timedelta(seconds=number)
+            left = tuple(TargetId(name) for name in gone)
+            update = TargetUpdate(full, tuple(present), left, 0)
+            board.update(source, update, now)
+            reference.update(source, update, now)
+            reference._rebuild(now)
+            self.assertEqual(_names(board), _names(reference))
+            self.assertEqual(_cold(board, now), _cold(reference, now))
+
+    def test_equal_list_is_skipped(self) -> None:
+        """Each control VM sends the same list each second."""
+        board = TargetBoard()
+        board.update(_FIRST, _update(entry('a')), NOW)
+        board.update(_SECOND, _update(entry('a')), _SECOND_LATER)
+        with patch.object(board, '_rebuild') as rebuild:
+            for source in (_FIRST, _SECOND):
+                board.update(source, _update(full=False), _SECOND_LATER)
+        rebuild.assert_not_called()
+
+
+def _cold(board: TargetBoard, now: timedelta) -> set[str]:
+    return {state.entry.target for state in board.states if state.is_cold(now)}
--- a/tests/platform_adapter/test_targets.py
+++ b/tests/platform_adapter/test_targets.py
@@ -6,9 +6,9 @@
 from types import MappingProxyType
 
 import msgspec
+from plantainstand_platform.entry_role import entry_settings
 from plantainstand_platform.settings import (
     PlatformSettings,
-    entry_settings,
     read_settings,
 )
 from plantainstand_platform.targets import decode_entry, decode_page
