--- a/bench/plantainstand_bench/_capacity_voter.py
+++ b/bench/plantainstand_bench/_capacity_voter.py
@@ -23,7 +23,8 @@
 from plantainstand_daemon._leader import Leader
 from plantainstand_daemon._metrics import HELP_TEXTS
 from plantainstand_shares import SupportTiming
-from plantainstand_telemetry import Metrics, Tracing
+from plantainstand_telemetry import Metrics
+from plantainstand_telemetry.traces import Tracing
 
 from plantainstand_bench._capacity_threads import (
     HOST,
--- a/libraries/daemon/plantainstand_daemon/_daemon.py
+++ b/libraries/daemon/plantainstand_daemon/_daemon.py
@@ -7,17 +7,14 @@
 from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass
 from datetime import timedelta
-from pathlib import Path
-from random import SystemRandom
 
 import structlog
 from grpclib.server import Server
 from plantainstand_catalogue import Service
-from plantainstand_core import ServiceId, SystemClock
+from plantainstand_core import ServiceId
 from plantainstand_protocol import ChannelPool
 from plantainstand_shares import SupportTiming
 from plantainstand_storage import StorageProblem
-from plantainstand_telemetry import Metrics, open_tracing
 from result import Err, Ok, Result
 
 from plantainstand_daemon._caller_api import CallerPort
@@ -28,8 +25,7 @@
 )
 from plantainstand_daemon._dispatch import TargetClient
 from plantainstand_daemon._http import build_application
-from plantainstand_daemon._instruments import Instruments
-from plantainstand_daemon._metrics import HELP_TEXTS
+from plantainstand_daemon._instruments import Instruments, open_instruments
 from plantainstand_daemon._operator_api import OperatorPort
 from plantainstand_daemon._operator_bridge import OperatorBridge
 from plantainstand_daemon._platform_poll import PlatformPoll
@@ -70,7 +66,7 @@
 async def run_daemon(settings: DaemonSettings) -> Result[None, StartProblem]:
     """Run until SIGTERM or SIGINT, then leave gracefully."""
     async with AsyncExitStack() as stack:
-        instruments = _open_instruments(stack, settings)
+        instruments = open_instruments(stack, settings)
         resources = _open_resources(stack)
         built = build_control_plane(
             settings,
@@ -88,21 +84,6 @@
         return await daemon.run(stack)
 
 
-def _open_instruments(
-    stack: AsyncExitStack,
-    settings: DaemonSettings,
-) -> Instruments:
-    traces = settings.traces
-    tracing = open_tracing(
-        stack.enter_context(ExitStack()),
-        settings.vm,
-        Path(traces.folder) if traces else None,
-        traces.sample_ratio if traces else 0,
-    )
-    metrics = Metrics(HELP_TEXTS)
-    return Instruments(SystemClock(), metrics, tracing, SystemRandom())
-
-
 def _open_resources(stack: AsyncExitStack) -> Resources:
     channels = ChannelPool()
     stack.callback(channels.close)
--- a/libraries/daemon/plantainstand_daemon/_engine.py
+++ b/libraries/daemon/plantainstand_daemon/_engine.py
@@ -20,7 +20,7 @@
     may_retry,
     rank_candidates,
 )
-from plantainstand_telemetry import current_traceparent
+from plantainstand_telemetry.traces import current_traceparent
 from result import Err
 
 from plantainstand_daemon._attempts import Attempt, Progress, first_answer
--- a/libraries/daemon/plantainstand_daemon/_instruments.py
+++ b/libraries/daemon/plantainstand_daemon/_instruments.py
@@ -1,10 +1,16 @@
 """What almost every part of the daemon measures and decides with."""
 
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass
-from random import Random
+from pathlib import Path
+from random import Random, SystemRandom
 
-from plantainstand_core import Clock
-from plantainstand_telemetry import Metrics, Tracing
+from plantainstand_core import Clock, SystemClock
+from plantainstand_telemetry import Metrics
+from plantainstand_telemetry.traces import Tracing, open_tracing
+
+from plantainstand_daemon._metrics import HELP_TEXTS
+from plantainstand_daemon._settings import DaemonSettings
 
 
 @dataclass(frozen=True)
@@ -15,3 +21,19 @@
     metrics: Metrics
     tracing: Tracing
     random_source: Random
+
+
+def open_instruments(
+    stack: AsyncExitStack,
+    settings: DaemonSettings,
+) -> Instruments:
+    """Return a daemon's instruments; the stack closes its traces."""
+    traces = settings.traces
+    tracing = open_tracing(
+        stack.enter_context(ExitStack()),
+        settings.vm,
+        Path(traces.folder) if traces else None,
+        traces.sample_ratio if traces else 0,
+    )
+    metrics = Metrics(HELP_TEXTS)
+    return Instruments(SystemClock(), metrics, tracing, SystemRandom())
--- a/tests/daemon/fakes.py
+++ b/tests/daemon/fakes.py
@@ -12,7 +12,8 @@
 from plantainstand_daemon._instruments import Instruments
 from plantainstand_daemon._metrics import HELP_TEXTS
 from plantainstand_records import encode_outcome
-from plantainstand_telemetry import Metrics, Tracing
+from plantainstand_telemetry import Metrics
+from plantainstand_telemetry.traces import Tracing
 from result import Err, Ok, Result
 
 
