Send the cold time of a target once, not with each reading of the list

Change: VMs keep the time at which a target is warm; an entry is sent again only if that moves later by more than 0.3 s.

--- a/libraries/control/plantainstand_control/_poller.py
+++ b/libraries/control/plantainstand_control/_poller.py
@@ -5,9 +5,15 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 import structlog
 from plantainstand_core import Clock, TargetId
-from plantainstand_fleet import TargetEntry, TargetListing, TargetUpdate
+from plantainstand_fleet import (
+    TargetEntry,
+    TargetListing,
+    TargetUpdate,
+    with_cold_time,
+)
 from result import Err, Result
 
 _log = structlog.get_logger()
@@ -27,6 +33,10 @@
 """How often it is looked whether a reading is due; a VM that becomes the
 leader begins at once."""
 
+COLD_TIME_TOLERANCE = timedelta(milliseconds=300)
+"""Later end of a target's cold time that is told to other VMs; readings of
+the same time differ by the way to the list and back."""
+
 RATE_SHARE = 0.5
 """Part of the allowed calls that is used, since several VMs may read."""
 
@@ -84,6 +94,7 @@
         self._clock = clock
         self._calls_per_second = calls_per_second
         self._entries: dict[TargetId, TargetEntry] = {}
+        self._cold_until: dict[TargetId, timedelta] = {}
         self._seen_at: timedelta | None = None
         self._tried_at = clock.monotonic() - READ_INTERVAL
         self._calls = 1
@@ -97,7 +108,14 @@
         age = self._clock.monotonic() - self._seen_at
         return TargetUpdate(
             full=True,
-            present=tuple(self._entries.values()),
+            present=tuple(
+                with_cold_time(
+                    msgspec.structs.replace(entry, cold_seconds=0),
+                    self._cold_until.get(target),
+                    self._seen_at,
+                )
+                for target, entry in self._entries.items()
+            ),
             gone=(),
             age_seconds=age.total_seconds(),
         )
@@ -113,7 +131,7 @@
         if newer and listing.is_complete:
             # Differences to this list mean nothing to the other VMs.
             self._others_complete = False
-            self._take(tuple(listing.entries.values()), listing.seen_at)
+            self._take(listing.snapshot(), listing.seen_at)
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -154,11 +172,14 @@
     ) -> TargetUpdate:
         entries = {entry.target: entry for entry in listed}
         changed = tuple(
-            entry
-            for entry in entries.values()
-            if self._entries.get(entry.target) != entry
+            entry for entry in listed if self._is_changed(entry, began)
         )
         gone = tuple(self._entries.keys() - entries.keys())
+        for entry in changed:
+            cold = timedelta(seconds=entry.cold_seconds)
+            self._cold_until[entry.target] = began + cold
+        for target in gone:
+            self._cold_until.pop(target, None)
         if changed or gone:
             _log.info(
                 'target list changed',
@@ -178,6 +199,25 @@
         self._receivers.publish(update)
         return update
 
+    def _is_changed(self, entry: TargetEntry, seen_at: timedelta) -> bool:
+        """Tell whether an entry says something new.
+
+        The remaining cold time of each cold target is another in each
+        reading; as long as it only runs down, nobody needs to be told.
+        """
+        known = self._entries.get(entry.target)
+        if known is None:
+            return True
+        same_time = msgspec.structs.replace(
+            known,
+            cold_seconds=entry.cold_seconds,
+        )
+        if same_time != entry or entry.cold_seconds <= 0:
+            return same_time != entry
+        cold_until = seen_at + timedelta(seconds=entry.cold_seconds)
+        known_until = self._cold_until.get(entry.target, seen_at)
+        return cold_until > known_until + COLD_TIME_TOLERANCE
+
     def _share(self, update: TargetUpdate) -> None:
         full = self.full_update()
         if self._others_complete or full is None:
--- a/libraries/fleet/plantainstand_fleet/_listing.py
+++ b/libraries/fleet/plantainstand_fleet/_listing.py
@@ -1,7 +1,9 @@
 """The platform's list of targets, put together from differences."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 
+import msgspec
 from plantainstand_core import TargetId
 
 from plantainstand_fleet._messages import TargetEntry, TargetUpdate
@@ -15,6 +17,11 @@
     def __init__(self) -> None:
         """Start without entries."""
         self.entries: dict[TargetId, TargetEntry] = {}
+        """Entries without their remaining cold time, which runs on."""
+
+        self.cold_until: dict[TargetId, timedelta] = {}
+        """Monotonic time at which targets that were cold are warm."""
+
         self.seen_at = _NEVER
         self.is_complete = False
         self.digest = 0
@@ -22,19 +29,49 @@
 
     def take(self, update: TargetUpdate, now: timedelta) -> None:
         """Carry out an update, received at the monotonic time ``now``."""
+        seen_at = now - timedelta(seconds=update.age_seconds)
         if update.full:
             self.entries = {}
+            self.cold_until = {}
             self.digest = 0
             self.is_complete = True
-        for entry in update.present:
-            self._drop(entry.target)
-            self.entries[entry.target] = entry
-            self.digest ^= hash(entry)
         for target in update.gone:
             self._drop(target)
-        self.seen_at = now - timedelta(seconds=update.age_seconds)
+        for entry in update.present:
+            self._set(entry, seen_at)
+        self.seen_at = seen_at
+
+    def snapshot(self) -> Sequence[TargetEntry]:
+        """Return all entries with the cold time that was left when seen."""
+        return tuple(
+            with_cold_time(entry, self.cold_until.get(target), self.seen_at)
+            for target, entry in self.entries.items()
+        )
+
+    def _set(self, entry: TargetEntry, seen_at: timedelta) -> None:
+        target = entry.target
+        self._drop(target)
+        if entry.cold_seconds > 0:
+            cold = timedelta(seconds=entry.cold_seconds)
+            self.cold_until[target] = seen_at + cold
+            entry = msgspec.structs.replace(entry, cold_seconds=0)
+        self.entries[target] = entry
+        self.digest ^= hash(entry)
 
     def _drop(self, target: TargetId) -> None:
+        self.cold_until.pop(target, None)
         known = self.entries.pop(target, None)
         if known is not None:
             self.digest ^= hash(known)
+
+
+def with_cold_time(
+    entry: TargetEntry,
+    cold_until: timedelta | None,
+    seen_at: timedelta,
+) -> TargetEntry:
+    """Return an entry with the cold time that is left at ``seen_at``."""
+    if cold_until is None or cold_until <= seen_at:
+        return entry
+    left = (cold_until - seen_at).total_seconds()
+    return msgspec.structs.replace(entry, cold_seconds=left)
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -32,7 +32,6 @@
         self._by_service: dict[ServiceId, ServiceTargets] = {}
         self._first_seen_at: timedelta | None = None
         self._built_digest: int | None = None
-        self._has_cold = False
 
     @property
     def is_known(self) -> bool:
@@ -89,13 +88,13 @@
         newest = self._newest()
         if newest is None or newest.digest != self._built_digest:
             return True
-        if self._has_cold:
-            # The same remaining time, seen later, ends later.
-            return True
-        leaving = (each for each in update.present if each.draining)
         return any(
-            not newest.entries.get(each.target, each).draining
-            for each in leaving
+            each.cold_seconds > 0
+            or (
+                each.draining
+                and not newest.entries.get(each.target, each).draining
+            )
+            for each in update.present
         )
 
     def _rebuild(self, now: timedelta) -> None:
@@ -103,13 +102,10 @@
         if newest is None:
             return
         self._built_digest = newest.digest
-        self._has_cold = any(
-            entry.cold_seconds > 0 for entry in newest.entries.values()
-        )
         if self._first_seen_at is None and newest.entries:
             self._first_seen_at = now
         states = {
-            target: self._state_of(entry, newest.seen_at, now)
+            target: self._state_of(entry, newest.cold_until.get(target), now)
             for target, entry in newest.entries.items()
         }
         self._states = states
@@ -136,7 +132,7 @@
     def _state_of(
         self,
         entry: TargetEntry,
-        seen_at: timedelta,
+        cold_until: timedelta | None,
         now: timedelta,
     ) -> TargetState:
         state = self._states.get(entry.target)
@@ -146,9 +142,8 @@
             if self._first_seen_at is not None and self._first_seen_at < now:
                 state.cold_until = now + REAPPEARANCE_COLD
         state.entry = entry
-        if entry.cold_seconds > 0:
-            cold = timedelta(seconds=entry.cold_seconds)
-            state.cold_until = max(state.cold_until, seen_at + cold)
+        if cold_until is not None:
+            state.cold_until = max(state.cold_until, cold_until)
         return state
 
     def _is_draining(self, entry: TargetEntry) -> bool:
--- a/tests/control/test_poller.py
+++ b/tests/control/test_poller.py
@@ -162,3 +162,33 @@
         slowest = READ_INTERVAL + TAKEOVER_DELAY + TURN_SPACING
         slowest += DUE_CHECK_INTERVAL * 2
         self.assertLess(slowest + _CALL_TIMEOUT, _DRAIN_BOUND)
+
+
+class ColdTimeTests(unittest.IsolatedAsyncioTestCase):
+    """Remaining cold times change with each reading."""
+
+    async def test_running_down_is_not_sent(self) -> None:
+        """A release of many targets must not fill small links each second."""
+        self.assertEqual(await self._changes(3, 2, 1), [1, 0, 0])
+
+    async def test_cold_again_is_sent(self) -> None:
+        """A target may become cold at any moment."""
+        self.assertEqual(await self._changes(0, 3), [1, 1])
+
+    async def test_constant_time_is_sent(self) -> None:
+        """A target that stays cold is not taken for warm."""
+        self.assertEqual(await self._changes(3, 3), [1, 1])
+
+    async def _changes(self, *seconds: float) -> list[int]:
+        """Return how many entries are sent for each reading."""
+        reader = _Reader(
+            *(
+                Ok(TargetList((entry('a', cold_seconds=left),), 1))
+                for left in seconds
+            ),
+        )
+        async with AsyncExitStack() as stack:
+            await reader.run(stack)
+            await _until(lambda: len(reader.published) >= len(seconds))
+        published = reader.published[: len(seconds)]
+        return [len(update.present) for update in published]
