--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -72,6 +72,9 @@
     sent_through: LogIndex
     """Log index up to which its desired state is complete."""
 
+    roster_frame: bytes = b''
+    """Roster that was sent last."""
+
     listing: TargetListing = field(default_factory=TargetListing)
     """Targets as a control VM has read them."""
 
@@ -204,7 +207,8 @@
         self._peers.broadcast(roster)
         frame = encode_fleet_message(roster)
         for link, caller in self._callers.items():
-            if caller.role is VmRole.ENTRY:
+            if caller.role is VmRole.ENTRY and caller.roster_frame != frame:
+                caller.roster_frame = frame
                 link.send(frame)
 
     def _received(self, link: Link, frame: bytes) -> None:
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -158,7 +158,8 @@
         _log.info('control VM connected', control=vm, desired_index=index)
 
     def _closed(self, vm: VmId) -> None:
-        self._rosters.pop(vm, None)
+        # Unchanged rosters are not sent again.
+        self._remember(self._rosters.pop(vm, frozenset()))
         self._beliefs.board.forget_source(vm)
         self._beliefs.fleet.forget(vm)
         _log.info('control VM lost', control=vm, connected=self.open_count)
@@ -206,12 +207,15 @@
 
     def _take_roster(self, vm: VmId, roster: Roster) -> None:
         self._rosters[vm] = frozenset(roster.controls)
+        self._remember(roster.controls)
+        self._beliefs.fleet.note(vm, roster.entry_count)
+        self._adjust()
+
+    def _remember(self, controls: Collection[ControlPlace]) -> None:
         now = self._clock.monotonic()
-        self._named_at.update((place.vm, now) for place in roster.controls)
+        self._named_at.update((place.vm, now) for place in controls)
         self._named_at = {
-            named: at
-            for named, at in self._named_at.items()
+            vm: at
+            for vm, at in self._named_at.items()
             if now - at < CONTROL_MEMORY
         }
-        self._beliefs.fleet.note(vm, roster.entry_count)
-        self._adjust()
--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -61,6 +61,7 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._heard_at = clock.monotonic()
+        self._sent_at = clock.monotonic()
         self._timer: asyncio.TimerHandle | None = None
         self.closed = asyncio.get_running_loop().create_future()
 
@@ -112,6 +113,7 @@
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             transport.abort()
             return
+        self._sent_at = self._clock.monotonic()
         transport.write(_LENGTH.pack(len(frame)) + frame)
 
     def abort(self) -> None:
@@ -142,7 +144,13 @@
         if silence > self._times.silence_limit:
             self.abort()
             return
-        self._transport.write(_PING)
+        # A frame that was sent a moment ago shows as well that this end is
+        # alive.
+        if (
+            self._clock.monotonic() - self._sent_at
+            > self._times.ping_interval / 2
+        ):
+            self._transport.write(_PING)
         self._timer = asyncio.get_running_loop().call_later(
             self._times.ping_interval.total_seconds(),
             self._ping,
