--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -36,9 +36,7 @@
 _FILLER = bytes(MAX_FRAMING_BYTES // 8).replace(b'\0', b'x')
 
 
-class ClientTests(unittest.IsolatedAsyncioTestCase):
-    """A wrong or cut answer must not reach a client as its own."""
-
+class _ClientCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         """Own targets and connections for the test."""
         self.stack = AsyncExitStack()
@@ -46,6 +44,10 @@
         self.stack.callback(self.pool.close)
         self.addAsyncCleanup(self.stack.aclose)
 
+
+class ClientTests(_ClientCase):
+    """A wrong or cut answer must not reach a client as its own."""
+
     async def test_outcomes(self) -> None:
         """Each answer ends whole or as a failure, never in between."""
         cases: tuple[tuple[str, Script, bytes | FailureKind], ...] = (
@@ -163,16 +165,9 @@
         return outcome.ok_value.body
 
 
-class LargeAnswerTests(unittest.IsolatedAsyncioTestCase):
+class LargeAnswerTests(_ClientCase):
     """Answers that are passed on while they arrive."""
 
-    async def asyncSetUp(self) -> None:
-        """Own targets and connections for the test."""
-        self.stack = AsyncExitStack()
-        self.pool = TargetPool(SystemClock())
-        self.stack.callback(self.pool.close)
-        self.addAsyncCleanup(self.stack.aclose)
-
     async def test_whole_and_the_connection_is_reused(self) -> None:
         """A stream that was read to its end costs no new connection."""
         chunked = b'%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n'
