--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -57,6 +57,10 @@
 TIMED_OUT: Outcome = Err(ExchangeFailure(FailureKind.TIMED_OUT, ''))
 
 
+ENTRY_COUNT = 16
+"""Entry VMs that share the retry budget; each has some repeats."""
+
+
 class ScriptedPool:
     """Gives one outcome after another; remembers what was sent where."""
 
@@ -171,12 +175,14 @@
             self.clock.monotonic(),
         )
         self.board = board
+        fleet = FleetSize()
+        fleet.note(VmId('10.0.0.1'), ENTRY_COUNT)
         parts = SteeringParts(
             view,
             board,
             cast(TargetPool, self.pool),
             RetryBudgetShare(SETTINGS.retry_terms),
-            FleetSize(),
+            fleet,
             Metrics(METRIC_HELP),
         )
         self.steering = RequestSteering(SETTINGS, parts, DIALECT, self.clock)
