Split sending to a target from steering; close a large refusal

_steering.py did two jobs: deciding on a request, and sending it once and learning from the outcome; the second is in _attempts.py now.

Found while reading: a streamed answer below 400 that says the request has not run was dropped without closing its stream, so the target's slot stayed taken in this VM's count. It is read whole like a failure. The new test fails on the code before (one request in flight).

--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -9,15 +9,10 @@
 from plantainstand_core import Clock
 from plantainstand_desired import DesiredView, RouteMatch
 from plantainstand_http import (
-    Answer,
-    ExchangeFailure,
     FailureKind,
     Request,
     Response,
-    StreamEnd,
     TargetPool,
-    encode_request,
-    read_whole,
 )
 from plantainstand_placement import (
     Choice,
@@ -25,13 +20,12 @@
     Refusal,
     RetryBudgetShare,
     TargetBoard,
-    TargetState,
     TrafficSplitter,
     choose_target,
 )
 from plantainstand_telemetry import Metrics
-from result import Err, Ok, Result
 
+from plantainstand_edge._attempts import TargetAttempts, pass_on
 from plantainstand_edge._dialect import Dialect, RequestFacts
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._journey import Journey
@@ -61,9 +55,6 @@
 MAX_CONNECT_FAILURES = 3
 """Unreachable targets tried for one request before it is given up."""
 
-MAX_FAILURE_BYTES = 256 * 1024
-"""Longest body of a target's failure that is kept to be passed on."""
-
 SHORTEST_QUEUE_SHARE = 0.25
 """Part of the usual service time that a request may always wait: estimates
 are not exact to less."""
@@ -105,6 +96,13 @@
             parts.metrics,
             clock,
         )
+        self._attempts = TargetAttempts(
+            parts.pool,
+            dialect,
+            self._times,
+            self._request_log,
+            clock,
+        )
 
     async def handle(self, request: Request) -> Response:
         """Serve a request; cancelled when the client leaves."""
@@ -156,7 +154,9 @@
             choice = self._choose(journey)
             if isinstance(choice, Refusal):
                 return self._give_up(journey, choice)
-            response = await self._attempt(journey, choice)
+            if journey.deadline - self._clock.monotonic() < MIN_ATTEMPT:
+                return self._give_up(journey, None)
+            response = await self._attempts.send(journey, choice)
             if response is not None:
                 return response
             if not self._may_try_again(journey):
@@ -194,127 +194,6 @@
         entry_count = self._parts.fleet.entry_count
         return self._settings.cold_terms.per_vm(rate, entry_count)
 
-    async def _attempt(
-        self,
-        journey: Journey,
-        choice: Choice,
-    ) -> Response | None:
-        """Send once; return None if another attempt may help."""
-        started = self._clock.monotonic()
-        left = journey.deadline - started
-        if left < MIN_ATTEMPT:
-            return self._give_up(journey, None)
-        state = choice.state
-        target = state.entry.target
-        journey.last_target = target
-        journey.last_rank = choice.rank
-        journey.last_expected_wait = choice.expected_wait
-        journey.tried.add(target)
-        payload = encode_request(
-            journey.request,
-            self._dialect.target_headers(target, left),
-        )
-        state.began(started)
-        streamed = False
-        try:
-            outcome = await self._exchange(journey, state, payload, left)
-            streamed = _is_streamed(outcome)
-        finally:
-            if not streamed:
-                state.ended()
-        return self._conclude(journey, choice, outcome, started)
-
-    async def _exchange(
-        self,
-        journey: Journey,
-        state: TargetState,
-        payload: bytes,
-        left: timedelta,
-    ) -> Result[Answer, ExchangeFailure]:
-        outcome = await self._parts.pool.exchange(
-            state.entry.address,
-            payload,
-            (self._dialect.identity_header, journey.facts.request_id),
-            left,
-            head_only=journey.request.method == b'HEAD',
-        )
-        if isinstance(outcome, Err) or outcome.ok_value.rest is None:
-            return outcome
-        if outcome.ok_value.status < HTTPStatus.BAD_REQUEST:
-            return outcome
-        # A failure may be followed by another attempt.
-        return await read_whole(outcome.ok_value, MAX_FAILURE_BYTES)
-
-    def _conclude(
-        self,
-        journey: Journey,
-        choice: Choice,
-        outcome: Result[Answer, ExchangeFailure],
-        started: timedelta,
-    ) -> Response | None:
-        now = self._clock.monotonic()
-        if isinstance(outcome, Err):
-            self._note_failure(journey, choice, outcome.err_value, now)
-            return None
-        journey.sends += 1
-        answer = outcome.ok_value
-        verdict = self._dialect.read_verdict(answer)
-        state = choice.state
-        if verdict.misdirected:
-            self._parts.pool.forget(state.entry.address)
-            state.unreachable(now)
-            return None
-        if verdict.not_run:
-            state.rejected(now, verdict.load)
-            return None
-        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        state.answered(now, verdict.load, failed=failed)
-        if failed and journey.match.route.idempotent:
-            journey.maybe_ran = True
-            journey.last_answer = answer
-            return None
-        if not failed:
-            waited = choice.expected_wait
-            self._times.note(journey.service, now - started - waited)
-        self._request_log.note(journey, answer.status, 'answered')
-        if answer.rest is not None:
-            answer.rest.when_closed(
-                lambda end: self._close_body(journey, state, end),
-            )
-        return _pass_on(answer)
-
-    def _close_body(
-        self,
-        journey: Journey,
-        state: TargetState,
-        end: StreamEnd,
-    ) -> None:
-        state.ended()
-        self._request_log.note_body(journey, state, end)
-
-    def _note_failure(
-        self,
-        journey: Journey,
-        choice: Choice,
-        failure: ExchangeFailure,
-        now: timedelta,
-    ) -> None:
-        journey.last_failure = failure.kind
-        if failure.kind is FailureKind.NOT_SENT:
-            journey.connect_failures += 1
-            choice.state.unreachable(now)
-        else:
-            journey.sends += 1
-            journey.maybe_ran = True
-            choice.state.broke(now)
-        _log.info(
-            'attempt failed',
-            request=journey.facts.log_id,
-            target=choice.state.entry.target,
-            failure=failure.kind.value,
-            detail=failure.detail,
-        )
-
     def _may_try_again(self, journey: Journey) -> bool:
         now = self._clock.monotonic()
         allowed = (
@@ -340,7 +219,7 @@
             self._request_log.note(
                 journey, answer.status, 'passed on a failure'
             )
-            return _pass_on(answer)
+            return pass_on(answer)
         if not journey.maybe_ran:
             return self._not_run(journey, refusal)
         status = HTTPStatus.BAD_GATEWAY
@@ -396,16 +275,3 @@
         request_id = b'' if facts is None else facts.request_id
         headers = self._dialect.refusal_headers(request_id, pause)
         return Response(status, headers, reason.encode())
-
-
-def _is_streamed(outcome: Result[Answer, ExchangeFailure]) -> bool:
-    return isinstance(outcome, Ok) and outcome.ok_value.rest is not None
-
-
-def _pass_on(answer: Answer) -> Response:
-    return Response(
-        answer.status,
-        answer.headers,
-        answer.body,
-        rest=answer.rest,
-    )
--- a/tests/edge/test_steering.py
+++ b/tests/edge/test_steering.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from plantainstand_http import Answer, BodyStream, StreamSource
+from result import Ok
+
 from tests.edge.builders import (
     ANSWERED,
     BROKEN,
@@ -79,6 +82,20 @@
         self.assertEqual(len(world.pool.sent), 2)
         self.assertEqual(len(set(world.pool.sent)), 2)
 
+    async def test_large_refusal_is_read_and_closed(self) -> None:
+        """A target that refuses at length must not keep a slot taken."""
+        stream = BodyStream(StreamSource(_nothing, _nothing, _nothing))
+        stream.feed(b'refused')
+        stream.finish()
+        ends: list[bool] = []
+        stream.when_closed(lambda end: ends.append(end.is_ok()))
+        refusal = Answer(200, ((b'not-run', b'1'),), b'', stream)
+        world = World(Ok(refusal), max_attempts=1, targets=1)
+        response = await world.steering.handle(world.request())
+        self.assertEqual(response.status, 503)
+        self.assertEqual(ends, [True])
+        self.assertEqual(world.board.states[0].in_flight, 0)
+
     async def test_target_left_with_nothing_in_flight(self) -> None:
         """Every outcome releases the target."""
         for outcome in (ANSWERED, BROKEN, REJECTED, TIMED_OUT, NOT_SENT):
@@ -120,3 +137,7 @@
         world = World(ANSWERED)
         await world.steering.handle(world.request())
         self.assertLessEqual(world.pool.timeouts[0].total_seconds(), 1)
+
+
+def _nothing() -> None:
+    """Stand for a source that is not controlled."""
