--- a/libraries/control/plantainstand_control/_poller.py
+++ b/libraries/control/plantainstand_control/_poller.py
@@ -7,12 +7,11 @@
 
 import msgspec
 import structlog
-from plantainstand_core import Clock, TargetId
+from plantainstand_core import Clock
 from plantainstand_fleet import (
     TargetEntry,
     TargetListing,
     TargetUpdate,
-    with_cold_time,
 )
 from result import Err, Result
 
@@ -97,9 +96,7 @@
         self._receivers = receivers
         self._clock = clock
         self._calls_per_second = calls_per_second
-        self._entries: dict[TargetId, TargetEntry] = {}
-        self._cold_until: dict[TargetId, timedelta] = {}
-        self._seen_at: timedelta | None = None
+        self._listing = TargetListing()
         self._tried_at = clock.monotonic() - READ_INTERVAL
         self._calls = 1
         self._reachable = True
@@ -107,19 +104,12 @@
 
     def full_update(self) -> TargetUpdate | None:
         """Return the whole list, if it was ever read."""
-        if self._seen_at is None:
+        if not self._listing.is_complete:
             return None
-        age = self._clock.monotonic() - self._seen_at
+        age = self._clock.monotonic() - self._listing.seen_at
         return TargetUpdate(
             full=True,
-            present=tuple(
-                with_cold_time(
-                    msgspec.structs.replace(entry, cold_seconds=0),
-                    self._cold_until.get(target),
-                    self._seen_at,
-                )
-                for target, entry in self._entries.items()
-            ),
+            present=tuple(self._listing.snapshot()),
             gone=(),
             age_seconds=age.total_seconds(),
         )
@@ -131,7 +121,7 @@
 
     def adopt(self, listing: TargetListing) -> None:
         """Take what another control VM has read, if it is newer."""
-        newer = self._seen_at is None or listing.seen_at > self._seen_at
+        newer = listing.seen_at > self._listing.seen_at
         if newer and listing.is_complete:
             # Differences to this list mean nothing to the other VMs.
             self._others_complete = False
@@ -141,16 +131,12 @@
         """Read until cancelled."""
         while True:
             now = self._clock.monotonic()
-            if now - self._newest_attempt() >= self._interval():
+            newest = max(self._listing.seen_at, self._tried_at)
+            if now - newest >= self._interval():
                 self._tried_at = now
                 await self._read_once(now)
             await asyncio.sleep(DUE_CHECK_INTERVAL.total_seconds())
 
-    def _newest_attempt(self) -> timedelta:
-        if self._seen_at is None:
-            return self._tried_at
-        return max(self._seen_at, self._tried_at)
-
     def _interval(self) -> timedelta:
         calls = self._calls_per_second * RATE_SHARE
         usual = max(READ_INTERVAL, timedelta(seconds=self._calls / calls))
@@ -175,16 +161,11 @@
         listed: Sequence[TargetEntry],
         began: timedelta,
     ) -> TargetUpdate:
-        entries = {entry.target: entry for entry in listed}
+        names = {entry.target for entry in listed}
         changed = tuple(
             entry for entry in listed if self._is_changed(entry, began)
         )
-        gone = tuple(self._entries.keys() - entries.keys())
-        for entry in changed:
-            cold = timedelta(seconds=entry.cold_seconds)
-            self._cold_until[entry.target] = began + cold
-        for target in gone:
-            self._cold_until.pop(target, None)
+        gone = tuple(self._listing.entries.keys() - names)
         if changed or gone:
             _log.info(
                 'target list changed',
@@ -192,15 +173,14 @@
                 changed_count=len(changed),
                 gone=list(gone[:8]),
             )
-        self._entries = entries
-        self._seen_at = began
-        age = self._clock.monotonic() - began
+        now = self._clock.monotonic()
         update = TargetUpdate(
-            full=False,
+            full=not self._listing.is_complete,
             present=changed,
             gone=gone,
-            age_seconds=age.total_seconds(),
+            age_seconds=(now - began).total_seconds(),
         )
+        self._listing.take(update, now)
         self._receivers.publish(update)
         return update
 
@@ -210,17 +190,13 @@
         The remaining cold time of each cold target is another in each
         reading; as long as it only runs down, nobody needs to be told.
         """
-        known = self._entries.get(entry.target)
-        if known is None:
+        known = self._listing.entries.get(entry.target)
+        if known != msgspec.structs.replace(entry, cold_seconds=0):
             return True
-        same_time = msgspec.structs.replace(
-            known,
-            cold_seconds=entry.cold_seconds,
-        )
-        if same_time != entry or entry.cold_seconds <= 0:
-            return same_time != entry
+        if entry.cold_seconds <= 0:
+            return False
         cold_until = seen_at + timedelta(seconds=entry.cold_seconds)
-        known_until = self._cold_until.get(entry.target, seen_at)
+        known_until = self._listing.cold_until.get(entry.target, seen_at)
         return cold_until > known_until + COLD_TIME_TOLERANCE
 
     def _share(self, update: TargetUpdate) -> None:
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -1,6 +1,6 @@
 """Messages between entry VMs and control VMs."""
 
-from plantainstand_fleet._listing import TargetListing, with_cold_time
+from plantainstand_fleet._listing import TargetListing
 from plantainstand_fleet._messages import (
     ControlPlace,
     DesiredUpdate,
@@ -32,5 +32,4 @@
     'VmRole',
     'decode_fleet_message',
     'encode_fleet_message',
-    'with_cold_time',
 )
--- a/libraries/fleet/plantainstand_fleet/_listing.py
+++ b/libraries/fleet/plantainstand_fleet/_listing.py
@@ -44,7 +44,7 @@
     def snapshot(self) -> Sequence[TargetEntry]:
         """Return all entries with the cold time that was left when seen."""
         return tuple(
-            with_cold_time(entry, self.cold_until.get(target), self.seen_at)
+            _with_cold_time(entry, self.cold_until.get(target), self.seen_at)
             for target, entry in self.entries.items()
         )
 
@@ -65,7 +65,7 @@
             self.digest ^= hash(known)
 
 
-def with_cold_time(
+def _with_cold_time(
     entry: TargetEntry,
     cold_until: timedelta | None,
     seen_at: timedelta,
