Look a route up once for a request that is alone on its connection

The verdict on a small answer is read once. Whether a connection reads on is kept in one place, and headers are searched without a copy of the list.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -85,7 +85,9 @@
             left,
             head_only=journey.request.method == b'HEAD',
         )
-        if isinstance(outcome, Err) or not self._may_retry(outcome.ok_value):
+        if isinstance(outcome, Err) or outcome.ok_value.rest is None:
+            return outcome
+        if not self._may_retry(outcome.ok_value):
             return outcome
         # Another attempt may follow, so nothing is passed on yet.
         return await read_whole(outcome.ok_value, MAX_FAILURE_BYTES)
--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -72,7 +72,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        return header_value(tuple(self.headers), name)
+        return header_value(self.headers, name)
 
     @property
     def is_framed(self) -> bool:
--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -46,14 +46,13 @@
         )
         self._transport: asyncio.Transport | None = None
         self._output: ClientOutput | None = None
-        self._ending = False
         self._last_activity = clock.monotonic()
         self._counted_bytes = 0
 
     @property
     def busy(self) -> bool:
         """Whether a request is read or answered, or an answer is leaving."""
-        reading = self._reader.started and not self._ending
+        reading = self._reader.started and not self._pipeline.input_ended
         leaving = self._output is not None and self._output.is_leaving
         return self._pipeline.is_answering or reading or leaving
 
@@ -70,7 +69,6 @@
         self._server.connections.discard(self)
         self._transport = None
         self._output = None
-        self._ending = True
         self._pipeline.cancel()
         self._server.held_body_bytes -= self._counted_bytes
         self._counted_bytes = 0
@@ -91,7 +89,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes of the client."""
-        if self._ending:
+        if self._pipeline.input_ended:
             return
         self._last_activity = self._clock.monotonic()
         if not self._reader.feed(chunk):
@@ -136,20 +134,20 @@
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _queue(self, request: Request) -> None:
-        if self._ending:
+        if self._pipeline.input_ended:
             return
         if request.head_bytes > self._server.limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
-        # Reading goes on, which shows when the client leaves.
-        self._ending = not request.keep_alive
+        # Without keep-alive reading goes on, which shows when the client
+        # leaves.
         self._pipeline.add(request)
         if self._pipeline.is_full and self._transport is not None:
             self._transport.pause_reading()
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that cannot be read, behind those before it."""
-        if self._ending:
+        if self._pipeline.input_ended:
             return
         self._stop_reading()
         headers: Headers = ()
@@ -172,12 +170,11 @@
         if self._transport is None:
             return
         self._count_bodies()
-        if not self._ending and not self._pipeline.is_full:
+        if not self._pipeline.input_ended and not self._pipeline.is_full:
             self._transport.resume_reading()
 
     def _stop_reading(self) -> None:
         """Read nothing more: what follows counts as not read."""
-        self._ending = True
         self._pipeline.end_input()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -1,6 +1,6 @@
 """Requests and responses as values."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
@@ -93,7 +93,10 @@
     server closes it."""
 
 
-def header_value(headers: Headers, name: bytes) -> bytes | None:
+def header_value(
+    headers: Iterable[tuple[bytes, bytes]],
+    name: bytes,
+) -> bytes | None:
     """Return the first value of a header, by its lower-case name."""
     for header, content in headers:
         if header == name:
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -100,7 +100,7 @@
         self._output: ClientOutput | None = None
         self._waiting: deque[tuple[Request, Response | None]] = deque()
         self._tasks: deque[asyncio.Task[None]] = deque()
-        self._overlapping = True
+        self._last_started: tuple[Request, Response | None] | None = None
         self._input_ended = False
         self._body_bytes = 0
 
@@ -109,6 +109,11 @@
         """Whether requests are unanswered."""
         return bool(self._tasks or self._waiting)
 
+    @property
+    def input_ended(self) -> bool:
+        """Whether no further request is to be read."""
+        return self._input_ended
+
     @property
     def is_full(self) -> bool:
         """Whether requests wait for earlier ones."""
@@ -143,6 +148,7 @@
     def cancel(self) -> None:
         """Give up all requests; the client has left."""
         self._output = None
+        self._input_ended = True
         self._waiting.clear()
         for task in self._tasks:
             task.cancel()
@@ -154,13 +160,20 @@
             work = self._answer(request, ready, before)
             task = asyncio.get_running_loop().create_task(work)
             self._tasks.append(task)
+            self._last_started = (request, ready)
 
     def _may_start(self, request: Request, ready: Response | None) -> bool:
-        overlaps = ready is None and self._server.may_overlap(request)
-        if self._tasks and not (self._overlapping and overlaps):
-            return False
-        self._overlapping = overlaps
-        return len(self._tasks) < PIPELINE_LIMIT
+        if self._last_started is None:
+            return True
+        # Those started before the last one have been found to overlap.
+        return (
+            len(self._tasks) < PIPELINE_LIMIT
+            and self._overlaps(*self._last_started)
+            and self._overlaps(request, ready)
+        )
+
+    def _overlaps(self, request: Request, ready: Response | None) -> bool:
+        return ready is None and self._server.may_overlap(request)
 
     async def _answer(
         self,
@@ -177,6 +190,8 @@
                     response.rest.close()
         self._tasks.popleft()
         self._body_bytes -= len(request.body)
+        if not self._tasks:
+            self._last_started = None
         if self._output is not None:
             self._start_next()
         self._events.progressed()
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -57,7 +57,7 @@
         """Note when the request arrived."""
         self.reading_head = False
         self._received_at = self._clock.monotonic()
-        if header_value(tuple(self._headers), b'expect') is not None:
+        if header_value(self._headers, b'expect') is not None:
             self._expects_continue()
 
     def on_body(self, part: bytes) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -307,3 +307,22 @@
         self.assertIn(b' 503 ', head)
         self.assertIn(b'retry-after', head)
         self.assertEqual(self.application.started, [])
+
+
+class SingleRequestTests(_ServerCase):
+    """The usual case: one request at a time on a connection."""
+
+    async def test_route_is_not_looked_up_for_overlap(self) -> None:
+        """A single request must not pay for the decision on pipelines."""
+        asked: list[bytes] = []
+
+        def may_overlap(request: Request) -> bool:
+            asked.append(request.target)
+            return True
+
+        reader, writer = await self.connect()
+        with patch.object(self.server._state, 'may_overlap', may_overlap):
+            for path in ('/first', '/second'):
+                writer.write(_get(path))
+                await _read_answer(reader)
+        self.assertEqual(asked, [])
