Planned stop: reject what cannot end before the exit, answer the rest

Cause: a stopping entry VM accepted every request until its port closed, 3.3 s after SIGTERM, whatever time the request needed. A history-read that arrived at 3.28 s was cut off 2.0 s later, at the exit, 40 ms before its target had run it. Its line denied the send and blamed the client.

Ruled out: the target (usual time), clocks and freezes, the directory.

Change: ends_before_exit compares the longest recent duration of the route with the time left; what may outlast the process is rejected at once, truly not run. Requests unfinished 100 ms before the exit get 504 instead of a closed connection. Lines count the attempt in progress and name the end of the process.

Besides: small answers to other requests without end were read until the exchange's timeout; 64 of them end the exchange now. The new case in test_bytes_without_end timed out before.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -15,7 +15,7 @@
     encode_request,
     read_whole,
 )
-from plantainstand_placement import Choice, TargetState
+from plantainstand_placement import Choice, LongestDurations, TargetState
 from result import Err, Ok, Result
 
 from plantainstand_edge._dialect import HeaderCodec
@@ -37,13 +37,15 @@
         pool: TargetConnectionPool,
         header_codec: HeaderCodec,
         service_times: ServiceTimes,
+        longest_durations: LongestDurations,
         request_log: RequestLog,
         clock: Clock,
     ):
-        """Record the time to each response in ``service_times``."""
+        """Record the time to each response in both kinds of durations."""
         self._pool = pool
         self._header_codec = header_codec
         self._service_times = service_times
+        self._longest_durations = longest_durations
         self._request_log = request_log
         self._clock = clock
 
@@ -64,6 +66,8 @@
             self._header_codec.target_headers(target, time_left),
         )
         state.record_sent(started)
+        # Stays set if the exchange is cancelled: the target may run on.
+        active.is_sending = True
         streamed = False
         try:
             outcome = await self._exchange(active, state, payload, time_left)
@@ -71,6 +75,7 @@
         finally:
             if not streamed:
                 state.record_ended()
+        active.is_sending = False
         return self._handle_outcome(active, choice, outcome, started)
 
     async def _exchange(
@@ -110,6 +115,8 @@
         if isinstance(outcome, Err):
             self._record_failure(active, choice, outcome.err_value, now)
             return None
+        route = active.match.name
+        self._longest_durations.record(route, now - started, now)
         active.sends += 1
         response = outcome.ok_value
         stated = self._header_codec.read_response_metadata(response)
@@ -143,6 +150,9 @@
         state: TargetState,
         end: StreamEnd,
     ) -> None:
+        now = self._clock.monotonic()
+        duration = now - active.request.received_at
+        self._longest_durations.record(active.match.name, duration, now)
         state.record_ended()
         self._request_log.record_body(active, state, end)
 
@@ -161,6 +171,9 @@
             active.sends += 1
             active.maybe_ran = True
             choice.state.record_failure(now)
+        if failure.kind is FailureKind.TIMED_OUT:
+            duration = now - active.request.received_at
+            self._longest_durations.record(active.match.name, duration, now)
         _log.info(
             'attempt failed',
             request=active.metadata.log_id,
--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -28,13 +28,16 @@
     """Targets to which the request has been sent."""
 
     sends: int = 0
-    """Attempts that may have reached a target, rejected ones included."""
+    """Ended attempts that may have reached a target, rejected ones included."""
+
+    is_sending: bool = False
+    """Whether an attempt is in progress that may have reached its target."""
 
     connect_failures: int = 0
     """Attempts that failed before a byte of the request was sent."""
 
     maybe_ran: bool = False
-    """Whether a target may have run the request."""
+    """Whether an ended attempt may have run the request."""
 
     last_error_response: TargetResponse | None = None
     """Error response to forward if no attempt succeeds."""
@@ -51,3 +54,13 @@
     def may_run_again(self) -> bool:
         """Whether another attempt keeps to at-most-once execution."""
         return self.match.route.idempotent or not self.maybe_ran
+
+    @property
+    def total_sends(self) -> int:
+        """Attempts that may have reached a target, one in progress included."""
+        return self.sends + self.is_sending
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request or may be running it."""
+        return self.maybe_ran or self.is_sending
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -42,6 +42,10 @@
 EXIT_MARGIN = timedelta(milliseconds=700)
 """Time before the end of the grace period at which the process exits."""
 
+LAST_RESPONSES_TIME = timedelta(milliseconds=100)
+"""Time before the exit at which requests that have not ended get a response, so
+that it can be sent."""
+
 STOP_POLL_INTERVAL = timedelta(milliseconds=50)
 """Interval at which a stopping VM checks for unanswered requests."""
 
@@ -93,11 +97,11 @@
             self._fleet_size,
             self._metrics,
         )
-        steering = RequestSteering(settings, inputs, header_codec, clock)
+        self._steering = RequestSteering(settings, inputs, header_codec, clock)
         self._server = HttpServer(
-            steering.handle,
+            self._steering.handle,
             clock,
-            steering.may_overlap,
+            self._steering.may_overlap,
         )
         self._status_server = HttpServer(self._answer_status, clock)
         self._links = ControlLinks(
@@ -172,11 +176,12 @@
         _log.info('entry VM stopping', busy=self._server.busy_count)
         self._report()
         self._server.announce_close()
+        limit = self._settings.stop_grace_period - EXIT_MARGIN
+        self._steering.begin_stop(stop_began_at + limit - LAST_RESPONSES_TIME)
         await self._wait_until(
             lambda: self._elapsed_since(stop_began_at) > STOP_NOTICE
         )
         self._server.stop_accepting()
-        limit = self._settings.stop_grace_period - EXIT_MARGIN
         await self._wait_until(
             lambda: (
                 not self._server.busy_count
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -64,8 +64,8 @@
             service_time_ms=_milliseconds(
                 self._service_times.estimate(active.service)
             ),
-            sends=active.sends,
-            maybe_ran=active.maybe_ran,
+            sends=active.total_sends,
+            maybe_ran=active.may_have_run,
             status=int(status),
             outcome=outcome,
             ms=_milliseconds(duration),
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -16,12 +16,15 @@
 )
 from plantainstand_placement import (
     Choice,
+    LongestDurations,
     PlacementCriteria,
     Refusal,
+    RefusalReason,
     RetryBudgetShare,
     TargetTable,
     TrafficSplitter,
     choose_target,
+    ends_before_exit,
 )
 from plantainstand_telemetry import Metrics
 
@@ -48,6 +51,9 @@
 NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
 """Retry-After of a VM that has no desired state yet."""
 
+STOPPING_RETRY_AFTER = timedelta(milliseconds=20)
+"""Retry-After of a VM that is stopping: another VM can serve the request."""
+
 REJECTED_RETRY_AFTER = timedelta(milliseconds=20)
 """Retry-After when targets rejected a request while other targets of its object
 have capacity: short, since the latency objective may still be met."""
@@ -89,6 +95,9 @@
         self._clock = clock
         self._splitter = TrafficSplitter()
         self._service_times = ServiceTimes()
+        self._longest_durations = LongestDurations()
+        self._exit_at: timedelta | None = None
+        self._time_limits: set[asyncio.Timeout] = set()
         self._request_log = RequestLog(
             inputs.desired_view,
             inputs.target_table,
@@ -100,10 +109,21 @@
             inputs.pool,
             header_codec,
             self._service_times,
+            self._longest_durations,
             self._request_log,
             clock,
         )
 
+    def begin_stop(self, exit_at: timedelta) -> None:
+        """Reject requests that may not end before ``exit_at`` (monotonic).
+
+        Requests that are accepted, now or earlier, get a response by then.
+        """
+        self._exit_at = exit_at
+        loop_time = self._exit_loop_time()
+        for time_limit in self._time_limits:
+            time_limit.reschedule(loop_time)
+
     async def handle(self, request: Request) -> Response:
         """Serve a request; cancelled when the client disconnects."""
         metadata = self._header_codec.read_request_metadata(request)
@@ -115,12 +135,19 @@
         if match is None:
             return self._respond_unmatched(metadata)
         active = self._start(request, metadata, match)
+        time_limit = asyncio.timeout_at(self._exit_loop_time())
+        self._time_limits.add(time_limit)
         try:
-            return await self._serve(active)
+            async with time_limit:
+                return await self._serve(active)
+        except TimeoutError:
+            return self._respond_at_exit(active)
         except asyncio.CancelledError:
             # The server cancels a request whose client has disconnected.
             self._request_log.record_request(active, 0, 'client left')
             raise
+        finally:
+            self._time_limits.discard(time_limit)
 
     def may_overlap(self, request: Request) -> bool:
         """Tell whether a request may be served beside those ahead of it.
@@ -133,6 +160,13 @@
         match = self._inputs.desired_view.match(metadata.host, metadata.path)
         return match is not None and match.route.idempotent
 
+    def _exit_loop_time(self) -> float | None:
+        """Return the time on the event loop's clock at which the VM exits."""
+        if self._exit_at is None:
+            return None
+        time_left = self._exit_at - self._clock.monotonic()
+        return asyncio.get_running_loop().time() + time_left.total_seconds()
+
     def _start(
         self,
         request: Request,
@@ -142,6 +176,9 @@
         received = request.received_at
         client_timeout = metadata.client_timeout or DEFAULT_CLIENT_TIMEOUT
         timeout = min(client_timeout - RESPONSE_MARGIN, match.timeout)
+        deadline = received + timeout
+        if self._exit_at is not None:
+            deadline = min(deadline, self._exit_at)
         objective = timedelta(seconds=match.route.objective_seconds)
         service = self._splitter.pick(match)
         self._inputs.retry_budget.count_request(service, received)
@@ -150,11 +187,14 @@
             metadata=metadata,
             match=match,
             service=service,
-            deadline=received + timeout,
+            deadline=deadline,
             objective=received + objective,
         )
 
     async def _serve(self, active: ActiveRequest) -> Response:
+        if not self._ends_before_exit(active):
+            refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
+            return self._respond_without_success(active, refusal)
         while True:
             choice = self._choose(active)
             if isinstance(choice, Refusal):
@@ -167,6 +207,16 @@
             if not self._may_retry(active):
                 return self._respond_without_success(active, None)
 
+    def _ends_before_exit(self, active: ActiveRequest) -> bool:
+        if self._exit_at is None:
+            return True
+        now = self._clock.monotonic()
+        return ends_before_exit(
+            self._longest_durations.longest(active.match.name, now),
+            active.match.timeout,
+            self._exit_at - now,
+        )
+
     def _choose(self, active: ActiveRequest) -> Choice | Refusal:
         now = self._clock.monotonic()
         inputs = self._inputs
@@ -241,6 +291,17 @@
             active.metadata, status, 'the outcome is not known'
         )
 
+    def _respond_at_exit(self, active: ActiveRequest) -> Response:
+        """Respond to a request that the end of this process breaks off."""
+        if not active.may_have_run:
+            refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
+            return self._respond_not_run(active, refusal)
+        status = HTTPStatus.GATEWAY_TIMEOUT
+        self._request_log.record_request(active, status, 'process ends')
+        return self._local_response(
+            active.metadata, status, 'the outcome is not known'
+        )
+
     def _respond_not_run(
         self, active: ActiveRequest, refusal: Refusal | None
     ) -> Response:
--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -34,6 +34,10 @@
 """Body bytes of responses to other requests that are skipped on one connection:
 enough for a late copy of a large response, but not for an endless one."""
 
+MAX_MISMATCHED_RESPONSES = 64
+"""Responses to other requests that are skipped while one response is awaited.
+Small ones without end would take processor time rather than memory."""
+
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 
@@ -105,6 +109,7 @@
         self._head_only = False
         self._framing_bytes = 0
         self._foreign_bytes = 0
+        self._foreign_responses = 0
         self._fault: str | None = None
 
     @property
@@ -119,6 +124,7 @@
         self._expecting = True
         self._exchanges += 1
         self._framing_bytes = 0
+        self._foreign_responses = 0
         self._partial = _PartialResponse()
 
     def feed(self, chunk: bytes) -> str | None:
@@ -130,6 +136,8 @@
             return 'bytes that are no HTTP answer'
         if self._framing_bytes > MAX_FRAMING_BYTES:
             return 'head or framing without end'
+        if self._foreign_responses > MAX_MISMATCHED_RESPONSES:
+            return 'too many answers to other requests'
         if self._foreign_bytes > MAX_MISMATCHED_BODY_BYTES:
             return 'too many bytes for other requests'
         return self._fault
@@ -219,7 +227,9 @@
             # It may be a late copy of an earlier response.
             self._fault = 'answer without an id on a used connection'
         known = echoed is not None or used
-        self._partial.is_mismatched = known and echoed != expected
+        if known and echoed != expected:
+            self._partial.is_mismatched = True
+            self._foreign_responses += 1
 
     def _begin_stream(self) -> None:
         partial = self._partial
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -10,6 +10,10 @@
     choose_target,
 )
 from plantainstand_placement._cold import ColdTargetLimits
+from plantainstand_placement._departure import (
+    LongestDurations,
+    ends_before_exit,
+)
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._split import TrafficSplitter
 from plantainstand_placement._target import LoadReport, TargetState
@@ -19,6 +23,7 @@
     'ColdTargetLimits',
     'PlacementCriteria',
     'LoadReport',
+    'LongestDurations',
     'Refusal',
     'RefusalReason',
     'RetryBudgetShare',
@@ -28,4 +33,5 @@
     'TargetState',
     'TrafficSplitter',
     'choose_target',
+    'ends_before_exit',
 )
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -59,6 +59,9 @@
     NO_CAPACITY = 'no capacity'
     """The response would come too late."""
 
+    STOPPING = 'stopping'
+    """This process may end before the response."""
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
--- /dev/null
+++ b/libraries/placement/plantainstand_placement/_departure.py
@@ -0,0 +1,65 @@
+"""Decides which requests a stopping entry VM still accepts.
+
+Load pattern: clients that hold an older directory answer keep sending for
+seconds after the order to stop, and some routes take longer than the time that
+is left. A request that cannot end before the process does would lose its
+answer while its target works on it, so it is rejected at once; the client then
+has most of its deadline left for another VM.
+"""
+
+from datetime import timedelta
+
+DURATION_WINDOW = timedelta(seconds=10)
+"""Time for which a response time counts at least."""
+
+
+class LongestDurations:
+    """Longest recent time to a whole response, by route.
+
+    Two windows are kept, so a duration counts for one to two window lengths.
+    """
+
+    def __init__(self) -> None:
+        """Create windows without durations."""
+        self._current: dict[str, timedelta] = {}
+        self._previous: dict[str, timedelta] = {}
+        self._current_since: timedelta | None = None
+
+    def record(self, route: str, duration: timedelta, now: timedelta) -> None:
+        """Add the time between sending a request and its last byte."""
+        self._rotate(now)
+        known = self._current.get(route, timedelta())
+        self._current[route] = max(known, duration)
+
+    def longest(self, route: str, now: timedelta) -> timedelta | None:
+        """Return the longest recent duration; None if there was none."""
+        self._rotate(now)
+        known = [
+            window[route]
+            for window in (self._current, self._previous)
+            if route in window
+        ]
+        return max(known, default=None)
+
+    def _rotate(self, now: timedelta) -> None:
+        since = self._current_since
+        if since is None:
+            self._current_since = now
+        elif now - since > DURATION_WINDOW:
+            is_adjacent = now - since <= DURATION_WINDOW * 2
+            self._previous = self._current if is_adjacent else {}
+            self._current = {}
+            self._current_since = now
+
+
+def ends_before_exit(
+    longest: timedelta | None, time_limit: timedelta, time_left: timedelta
+) -> bool:
+    """Tell whether a request is expected to end before the process does.
+
+    ``longest`` is the longest recent duration on the request's route, if any;
+    ``time_limit`` is the time after which the request is given up anyway, and
+    ``time_left`` the time until the process ends.
+    """
+    expected = time_limit if longest is None else min(longest, time_limit)
+    return expected <= time_left
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -152,6 +152,7 @@
         max_attempts: int = 2,
         targets: int = 3,
         routes: bool = True,
+        pool: object | None = None,
     ):
         self.clock = ManualClock()
         self.pool = ScriptedPool(outcomes, self.clock)
@@ -180,7 +181,7 @@
         inputs = SteeringInputs(
             view,
             target_table,
-            cast(TargetConnectionPool, self.pool),
+            cast(TargetConnectionPool, pool or self.pool),
             RetryBudgetShare(SETTINGS.retry_budget_limits),
             fleet_size,
             Metrics(METRIC_HELP),
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -234,6 +234,7 @@
         mismatched = (
             b'HTTP/1.1 200 OK\r\nX-Id: late\r\nContent-Length: %d\r\n\r\n'
         )
+        bodiless_mismatched = mismatched.replace(b'%d', b'0')
         cases = (
             ('status line', b'HTTP/1.1 200 ', _FILLER),
             ('one header', b'%sa: ' % _HEAD, _FILLER),
@@ -243,6 +244,11 @@
             ('chunk size', chunked, b'0' * len(_FILLER)),
             ('trailer', b'%s0\r\na: ' % chunked, _FILLER),
             ('many trailers', b'%s0\r\n' % chunked, b'a: b\r\n' * 2000),
+            (
+                'small foreign answers',
+                b'',
+                bodiless_mismatched * 500,
+            ),
             (
                 'foreign body',
                 mismatched % (MAX_MISMATCHED_BODY_BYTES * 9),
