Placement: estimate run times by route and by what is known of the object

Change: RunTimes keeps averages for repeated, first and overflowing runs of a route; a target that this VM knows to be warm for the object is preferred to one that is not; the objective is judged against the run that is expected. A request whose response will be late may wait one mean run time instead of a quarter, unless the run would then outlast the timeout. Request lines carry familiarity, expected run and objective; plantainstandctl logs causes counts losses by cause.

--- a/libraries/ctl/plantainstand_ctl/_arguments.py
+++ b/libraries/ctl/plantainstand_ctl/_arguments.py
@@ -116,6 +116,9 @@
     explaining = _action(actions, 'explain', text)
     explaining.add_argument('id', metavar='ID')
     explaining.add_argument('files', metavar='FILE', nargs='+')
+    text = 'count why requests were not answered in time'
+    counting = _action(actions, 'causes', text)
+    counting.add_argument('files', metavar='FILE', nargs='+')
 
 
 def _group(groups: Any, name: str, text: str) -> Any:
--- a/libraries/ctl/plantainstand_ctl/_main.py
+++ b/libraries/ctl/plantainstand_ctl/_main.py
@@ -15,6 +15,7 @@
     _catalogue_commands,
     _drain_commands,
     _log_commands,
+    _loss_commands,
     _request_commands,
     _status_commands,
 )
@@ -142,7 +143,7 @@
 
 
 _OFFLINE_COMMANDS = frozenset(
-    ('catalogue check', 'settings check', 'logs explain'),
+    ('catalogue check', 'settings check', 'logs explain', 'logs causes'),
 )
 
 _COMMANDS: Mapping[str, Callable[[_CommandContext], CommandResult]] = (
@@ -181,6 +182,9 @@
                 context.arguments.id,
                 [Path(name) for name in context.arguments.files],
             ),
+            'logs causes': lambda context: _loss_commands.count_causes(
+                [Path(name) for name in context.arguments.files],
+            ),
             'request show': _request_command(_request_commands.show_request),
             'request cancel': _request_command(
                 _request_commands.cancel_request
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -15,7 +15,12 @@
     encode_request,
     read_whole,
 )
-from plantainstand_placement import Choice, LongestDurations, TargetState
+from plantainstand_placement import (
+    Choice,
+    LongestDurations,
+    RunTimes,
+    TargetState,
+)
 from result import Err, Ok, Result
 
 from plantainstand_edge._dialect import HeaderCodec
@@ -37,6 +42,7 @@
         pool: TargetConnectionPool,
         header_codec: HeaderCodec,
         service_times: ServiceTimes,
+        run_times: RunTimes,
         longest_durations: LongestDurations,
         request_log: RequestLog,
         clock: Clock,
@@ -45,6 +51,7 @@
         self._pool = pool
         self._header_codec = header_codec
         self._service_times = service_times
+        self._run_times = run_times
         self._longest_durations = longest_durations
         self._request_log = request_log
         self._clock = clock
@@ -59,13 +66,16 @@
         target = state.entry.target
         active.last_target = target
         active.last_rank = choice.rank
+        active.last_familiarity = choice.familiarity.value
         active.last_expected_wait = choice.expected_wait
+        active.last_expected_run = choice.expected_run
         active.tried_targets.add(target)
         payload = encode_request(
             active.request,
             self._header_codec.target_headers(target, time_left),
         )
         state.record_sent(started)
+        state.record_object(active.object_key)
         # Stays set if the exchange is cancelled: the target may run on.
         active.is_sending = True
         streamed = False
@@ -121,6 +131,8 @@
         response = outcome.ok_value
         stated = self._header_codec.read_response_metadata(response)
         state = choice.state
+        if stated.misdirected or stated.not_run:
+            state.forget_object(active.object_key)
         if stated.misdirected:
             self._pool.close_idle(state.entry.address)
             state.record_unreachable(now)
@@ -135,8 +147,9 @@
             active.last_error_response = response
             return None
         if not failed:
-            waited = choice.expected_wait
-            self._service_times.record(active.service, now - started - waited)
+            run = now - started - choice.expected_wait
+            self._service_times.record(active.service, run)
+            self._run_times.record(route, choice.familiarity, run)
         self._request_log.record_request(active, response.status, 'answered')
         if response.rest is not None:
             response.rest.when_closed(
@@ -166,6 +179,7 @@
         active.last_failure = failure.kind
         if failure.kind is FailureKind.NOT_SENT:
             active.connect_failures += 1
+            choice.state.forget_object(active.object_key)
             choice.state.record_unreachable(now)
         else:
             active.sends += 1
--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -47,9 +47,23 @@
     last_rank: int | None = None
     """Index of the last target in the object's order of targets."""
 
+    last_familiarity: str | None = None
+    """What this VM knew of the object at the last target."""
+
     last_expected_wait: timedelta = timedelta()
     """Estimated wait in the last target's queue."""
 
+    last_expected_run: timedelta = timedelta()
+    """Estimated run time at the last target."""
+
+    @property
+    def object_key(self) -> bytes:
+        """Key by which the target is chosen: equal for all of an object."""
+        stated = self.metadata.object_key
+        if self.match.route.sticky and stated is not None:
+            return stated
+        return self.metadata.request_id
+
     @property
     def may_run_again(self) -> bool:
         """Whether another attempt keeps to at-most-once execution."""
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -60,7 +60,12 @@
             object=_as_text(active.metadata.object_key),
             target=active.last_target,
             target_rank=active.last_rank,
+            familiarity=active.last_familiarity,
             expected_wait_ms=_milliseconds(active.last_expected_wait),
+            expected_run_ms=_milliseconds(active.last_expected_run),
+            objective_ms=_milliseconds(
+                active.objective - active.request.received_at
+            ),
             service_time_ms=_milliseconds(
                 self._service_times.estimate(active.service)
             ),
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -21,6 +21,8 @@
     Refusal,
     RefusalReason,
     RetryBudgetShare,
+    RunTimes,
+    ServiceEstimates,
     TargetTable,
     TrafficSplitter,
     choose_target,
@@ -61,10 +63,6 @@
 MAX_CONNECT_FAILURES = 3
 """Failed connections after which no further attempt is made."""
 
-MIN_QUEUE_WAIT_FRACTION = 0.25
-"""Fraction of the usual service time that a request may always wait, since the
-estimates are no more precise than that."""
-
 
 @dataclass(frozen=True)
 class SteeringInputs:
@@ -95,6 +93,7 @@
         self._clock = clock
         self._splitter = TrafficSplitter()
         self._service_times = ServiceTimes()
+        self._run_times = RunTimes()
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
         self._time_limits: set[asyncio.Timeout] = set()
@@ -109,6 +108,7 @@
             inputs.pool,
             header_codec,
             self._service_times,
+            self._run_times,
             self._longest_durations,
             self._request_log,
             clock,
@@ -220,30 +220,25 @@
     def _choose(self, active: ActiveRequest) -> Choice | Refusal:
         now = self._clock.monotonic()
         inputs = self._inputs
-        service_time = self._service_times.estimate(active.service)
-        until_objective = active.objective - now - service_time
         criteria = PlacementCriteria(
-            object_key=self._object_key(active),
+            object_key=active.object_key,
             region=self._settings.region,
             home_regions=active.match.route.home_regions,
-            max_wait=max(
-                until_objective,
-                service_time * MIN_QUEUE_WAIT_FRACTION,
-            ),
+            objective_left=active.objective - now,
+            time_left=active.deadline - now,
             cold_limit=self._cold_limit(active),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
             ),
             tried_targets=frozenset(active.tried_targets),
         )
+        estimates = ServiceEstimates(
+            now,
+            self._run_times.estimates(active.match.name),
+            self._service_times.estimate(active.service),
+        )
         targets = inputs.target_table.targets_of(active.service)
-        return choose_target(criteria, targets, service_time, now)
-
-    def _object_key(self, active: ActiveRequest) -> bytes:
-        metadata = active.metadata
-        if active.match.route.sticky and metadata.object_key is not None:
-            return metadata.object_key
-        return metadata.request_id
+        return choose_target(criteria, targets, estimates)
 
     def _cold_limit(self, active: ActiveRequest) -> int:
         policy = self._inputs.desired_view.service_policy(active.service)
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -7,6 +7,7 @@
     PlacementCriteria,
     Refusal,
     RefusalReason,
+    ServiceEstimates,
     choose_target,
 )
 from plantainstand_placement._cold import ColdTargetLimits
@@ -14,6 +15,11 @@
     LongestDurations,
     ends_before_exit,
 )
+from plantainstand_placement._run_times import (
+    Familiarity,
+    RunTimeEstimates,
+    RunTimes,
+)
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._split import TrafficSplitter
 from plantainstand_placement._target import LoadReport, TargetState
@@ -21,6 +27,7 @@
 __all__ = (
     'Choice',
     'ColdTargetLimits',
+    'Familiarity',
     'PlacementCriteria',
     'LoadReport',
     'LongestDurations',
@@ -28,6 +35,9 @@
     'RefusalReason',
     'RetryBudgetShare',
     'RetryBudgetLimits',
+    'RunTimeEstimates',
+    'RunTimes',
+    'ServiceEstimates',
     'ServiceTargets',
     'TargetTable',
     'TargetState',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -22,6 +22,7 @@
 
 from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
 
+from plantainstand_placement._run_times import Familiarity, RunTimeEstimates
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
 
@@ -30,15 +31,23 @@
 first have to become warm for the object, which costs as much as several warm
 requests."""
 
-FIRST_TARGET_WAIT_FRACTION = 1.0
-"""Expected wait, as a fraction of the service time, up to which a request goes
-to the first target of its order rather than to a later one."""
+MAX_WARM_WAIT_FRACTION = 1.0
+"""Expected wait, as a fraction of the mean run time, up to which a request goes
+to a target that is warm for its object rather than to another one."""
+
+LATE_WAIT_FRACTION = 1.0
+"""Expected wait, as a fraction of the mean run time, with which a request is
+sent although its response will miss the objective."""
 
 SPILLOVER_LOAD_FRACTION = 0.5
 """Load, as a fraction of its slots, up to which a later target is used. When
 all targets are busy, spreading an object over more of them only adds cold,
 slow requests."""
 
+RUN_TIME_MARGIN = 1.2
+"""Multiple of the expected run time that must be left after the queue, because
+a request that is given up while it runs has cost a slot for nothing."""
+
 FREE_SLOT_MARGIN = 0.5
 """Fraction of a slot that must be free, because the load that other VMs cause
 is only estimated."""
@@ -80,9 +89,18 @@
     rank: int
     """Index in the object's order of allowed targets, from 0."""
 
+    familiarity: Familiarity
     expected_wait: timedelta
     """Estimated time in the target's queue."""
 
+    expected_run: timedelta
+    """Estimated time between the queue and the response."""
+
+    @property
+    def expected_duration(self) -> timedelta:
+        """Estimated time to the response."""
+        return self.expected_wait + self.expected_run
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementCriteria:
@@ -97,8 +115,11 @@
     home_regions: tuple[RegionId, ...]
     """Regions whose targets may serve the request; empty for all."""
 
-    max_wait: timedelta
-    """Longest time in a target's queue with which the request is sent."""
+    objective_left: timedelta
+    """Time until the route's latency objective is missed."""
+
+    time_left: timedelta
+    """Time until the request is given up."""
 
     cold_limit: int
     """Requests per second that this VM may send to one cold target."""
@@ -110,35 +131,107 @@
     """Targets to which the request has been sent already."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceEstimates:
+    """Times that one VM has observed, as of now."""
+
+    now: timedelta
+    """Monotonic time."""
+
+    run_times: RunTimeEstimates
+    """Run times of the request's route."""
+
+    mean_run_time: timedelta
+    """Mean over all requests of the service, which share the queues."""
+
+
 def choose_target(
     criteria: PlacementCriteria,
     targets: ServiceTargets,
-    service_time: timedelta,
-    now: timedelta,
+    estimates: ServiceEstimates,
 ) -> Choice | Refusal:
-    """Choose one of a service's targets.
-
-    ``service_time`` is the usual time from sending a request to the response;
-    ``now`` is a monotonic time.
-    """
-    candidates = _candidates(criteria, targets, service_time, now)
+    """Choose one of a service's targets, or reject the request."""
+    candidates = _candidates(criteria, targets, estimates)
     if not candidates:
         return Refusal(RefusalReason.NO_TARGET, RETRY_AFTER_MAX / 2)
-    rank = _best_rank(candidates, service_time, now)
-    wait = _expected_wait(candidates[rank], service_time, now)
-    if wait > criteria.max_wait:
-        retry_after = min(max(wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
+    options = [
+        _option(state, rank, criteria, estimates)
+        for rank, state in enumerate(candidates)
+    ]
+    chosen = _best(options, estimates)
+    if chosen.expected_wait > _max_wait(chosen, criteria, estimates):
+        retry_after = min(
+            max(chosen.expected_wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX
+        )
         return Refusal(RefusalReason.NO_CAPACITY, retry_after)
-    return Choice(candidates[rank], rank, wait)
+    return chosen
+
+
+def _max_wait(
+    chosen: Choice, criteria: PlacementCriteria, estimates: ServiceEstimates
+) -> timedelta:
+    """Return the expected wait above which the request is rejected."""
+    in_objective = criteria.objective_left - chosen.expected_run
+    before_timeout = max(
+        timedelta(),
+        criteria.time_left - chosen.expected_run * RUN_TIME_MARGIN,
+    )
+    late = estimates.mean_run_time * LATE_WAIT_FRACTION
+    return max(in_objective, min(late, before_timeout))
+
+
+def _option(
+    state: TargetState,
+    rank: int,
+    criteria: PlacementCriteria,
+    estimates: ServiceEstimates,
+) -> Choice:
+    familiarity = Familiarity.OTHER
+    if state.knows(criteria.object_key):
+        familiarity = Familiarity.REPEATED
+    elif rank == 0:
+        familiarity = Familiarity.PREFERRED
+    return Choice(
+        state,
+        rank,
+        familiarity,
+        _expected_wait(state, estimates.mean_run_time, estimates.now),
+        estimates.run_times.expected(familiarity),
+    )
+
+
+def _best(options: Sequence[Choice], estimates: ServiceEstimates) -> Choice:
+    """Return the first target unless another one is clearly better.
+
+    A target that this VM knows to be warm for the object is used when it
+    responds earlier. Any other one has to run the object cold, which takes
+    time from its own objects, and is used only while it has slots to spare.
+    """
+    best = min(
+        (
+            option
+            for option in options
+            if option.rank == 0 or option.familiarity is Familiarity.REPEATED
+        ),
+        key=lambda option: option.expected_duration,
+    )
+    if best.expected_wait <= estimates.mean_run_time * MAX_WARM_WAIT_FRACTION:
+        return best
+    for option in options[1:]:
+        slots = option.state.entry.slots
+        load = option.state.load(estimates.now)
+        if load <= slots * SPILLOVER_LOAD_FRACTION:
+            return option
+    return best
 
 
 def _candidates(
     criteria: PlacementCriteria,
     targets: ServiceTargets,
-    service_time: timedelta,
-    now: timedelta,
+    estimates: ServiceEstimates,
 ) -> Sequence[TargetState]:
     """Return the first allowed targets, failing and silent ones last."""
+    now = estimates.now
     failure_limit = targets.failure_limit(now)
     healthy: list[TargetState] = []
     failing: list[TargetState] = []
@@ -152,7 +245,7 @@
             continue
         if state.failure_rate(now) > failure_limit or state.is_silent(
             now,
-            service_time,
+            estimates.mean_run_time,
         ):
             failing.append(state)
             continue
@@ -162,20 +255,6 @@
     return (healthy + failing)[:MAX_CANDIDATES]
 
 
-def _best_rank(
-    candidates: Sequence[TargetState],
-    service_time: timedelta,
-    now: timedelta,
-) -> int:
-    max_first_wait = service_time * FIRST_TARGET_WAIT_FRACTION
-    if _expected_wait(candidates[0], service_time, now) <= max_first_wait:
-        return 0
-    for rank, state in enumerate(candidates[1:], start=1):
-        if state.load(now) <= state.entry.slots * SPILLOVER_LOAD_FRACTION:
-            return rank
-    return 0
-
-
 def _is_allowed(
     state: TargetState, criteria: PlacementCriteria, now: timedelta
 ) -> bool:
@@ -193,9 +272,9 @@
 
 def _expected_wait(
     state: TargetState,
-    service_time: timedelta,
+    mean_run_time: timedelta,
     now: timedelta,
 ) -> timedelta:
     slots = max(1, state.entry.slots)
     ahead = state.load(now) + FREE_SLOT_MARGIN - slots
-    return max(timedelta(), service_time * (ahead / slots))
+    return max(timedelta(), mean_run_time * (ahead / slots))
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -1,6 +1,7 @@
 """Load and health of one target, as one entry VM knows them."""
 
 import math
+from collections import OrderedDict
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -37,6 +38,10 @@
 """Shortest time without a response that makes a target silent."""
 
 
+MAX_KNOWN_OBJECTS = 1024
+"""Objects of one target that are remembered, the ones sent last."""
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load that a target reports: requests running and waiting, and slots."""
@@ -63,6 +68,22 @@
         self._backoff_until = _NEVER
         self._backoff = UNREACHABLE_BACKOFF
         self._silent_since: timedelta | None = None
+        self._known_objects: OrderedDict[bytes, None] = OrderedDict()
+
+    def knows(self, object_key: bytes) -> bool:
+        """Tell whether this VM has sent the object to the target before."""
+        return object_key in self._known_objects
+
+    def record_object(self, object_key: bytes) -> None:
+        """Record that the target has begun to run a request for an object."""
+        self._known_objects[object_key] = None
+        self._known_objects.move_to_end(object_key)
+        if len(self._known_objects) > MAX_KNOWN_OBJECTS:
+            self._known_objects.popitem(last=False)
+
+    def forget_object(self, object_key: bytes) -> None:
+        """Record that the target has not run a request for an object."""
+        self._known_objects.pop(object_key, None)
 
     def load(self, now: timedelta) -> float:
         """Return the estimated number of requests at the target."""
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -22,7 +22,9 @@
     async def exchange(self, *_arguments: object, **_options: bool) -> Outcome:
         """Wait until cancelled."""
         self.sent.set()
-        return await asyncio.get_running_loop().create_future()
+        never: asyncio.Future[Outcome]
+        never = asyncio.get_running_loop().create_future()
+        return await never
 
     def close_idle(self, _address: str) -> None:
         """See ``TargetConnectionPool.close_idle``."""
--- a/tests/placement/builders.py
+++ b/tests/placement/builders.py
@@ -9,11 +9,17 @@
     TargetId,
 )
 from plantainstand_fleet import TargetEntry
-from plantainstand_placement import PlacementCriteria, TargetState
+from plantainstand_placement import (
+    PlacementCriteria,
+    RunTimeEstimates,
+    ServiceEstimates,
+    TargetState,
+)
 
 NOW = timedelta(hours=1)
 SERVICE_TIME = timedelta(milliseconds=100)
-MAX_WAIT = SERVICE_TIME * 2
+OBJECTIVE_LEFT = SERVICE_TIME * 3
+TIME_LEFT = OBJECTIVE_LEFT * 2
 SERVICE = ServiceId('orders')
 
 
@@ -49,7 +55,8 @@
     key: str = 'object',
     *,
     home_regions: tuple[str, ...] = (),
-    max_wait: timedelta = MAX_WAIT,
+    objective_left: timedelta = OBJECTIVE_LEFT,
+    time_left: timedelta = TIME_LEFT,
     cold_limit: int = 2,
     tried_targets: tuple[str, ...] = (),
     evacuated_availability_zones: tuple[str, ...] = (),
@@ -59,10 +66,24 @@
         object_key=key.encode(),
         region=RegionId('norte'),
         home_regions=tuple(RegionId(home) for home in home_regions),
-        max_wait=max_wait,
+        objective_left=objective_left,
+        time_left=time_left,
         cold_limit=cold_limit,
         evacuated_availability_zones=frozenset(
             AvailabilityZoneId(zone) for zone in evacuated_availability_zones
         ),
         tried_targets=frozenset(TargetId(name) for name in tried_targets),
     )
+
+
+def estimates(
+    now: timedelta = NOW,
+    *,
+    repeated: timedelta = SERVICE_TIME,
+    unknown: timedelta = SERVICE_TIME,
+    mean: timedelta = SERVICE_TIME,
+) -> ServiceEstimates:
+    """Return estimates; ``unknown`` is the time of an object's first run."""
+    return ServiceEstimates(
+        now, RunTimeEstimates(repeated, unknown, unknown), mean
+    )
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -17,9 +17,12 @@
 from plantainstand_fleet import TargetEntry
 from plantainstand_placement import (
     Choice,
+    Familiarity,
     LoadReport,
     PlacementCriteria,
     Refusal,
+    RunTimes,
+    ServiceEstimates,
     ServiceTargets,
     TargetState,
 )
@@ -37,22 +40,39 @@
 TIMEOUT = timedelta(milliseconds=800)
 ZERO = timedelta()
 
+ROUTE = 'catalogue'
+
 ChooseTarget = Callable[
-    [PlacementCriteria, ServiceTargets, timedelta, timedelta],
+    [PlacementCriteria, ServiceTargets, ServiceEstimates],
     Choice | Refusal,
 ]
 
 
+@dataclass(eq=False)
+class ReplayedVm:
+    """What one entry VM knows."""
+
+    region: RegionId
+    targets: ServiceTargets
+    run_times: RunTimes = field(default_factory=RunTimes)
+    mean_run_time: timedelta = timedelta(milliseconds=200)
+
+    def record(self, choice: Choice, duration: timedelta) -> None:
+        """Add the time from sending a request to its response."""
+        run = duration - choice.expected_wait
+        self.run_times.record(ROUTE, choice.familiarity, run)
+        run = max(run, timedelta(milliseconds=1))
+        self.mean_run_time += (run - self.mean_run_time) * 0.05
+
+
 @dataclass(eq=False)
 class ReplayedRequest:
     """One simulated request."""
 
     arrived: timedelta
     object_key: bytes
-    targets: ServiceTargets
-    """State of the targets as the request's entry VM knows it."""
-
-    state: TargetState | None = None
+    vm: ReplayedVm
+    choice: Choice | None = None
     has_ended: bool = False
 
 
@@ -91,11 +111,10 @@
             each.target: ReplayedTarget() for each in self._entries
         }
         self._vms = [
-            (region, _targets(self._entries, self._now))
+            ReplayedVm(region, _targets(self._entries, self._now))
             for region in REGIONS
             for _ in range(ENTRY_VMS_BY_REGION)
         ]
-        self._service_time = timedelta(milliseconds=200)
 
     def run(self, duration: timedelta) -> ReplayResult:
         """Simulate arrivals for ``duration``; return their outcomes."""
@@ -116,37 +135,43 @@
         following = self._now + timedelta(seconds=pause)
         if following < end:
             self._at(following, lambda: self._arrive(end))
-        region, targets = self._random.choice(self._vms)
+        vm = self._random.choice(self._vms)
         number = self._random.randrange(OBJECTS_BY_REGION)
         request = ReplayedRequest(
             self._now,
-            f'{region}-{number}'.encode(),
-            targets,
+            f'{vm.region}-{number}'.encode(),
+            vm,
         )
         self.result.arrived += 1
-        self._send(request, region)
+        self._send(request)
 
-    def _send(self, request: ReplayedRequest, region: RegionId) -> None:
-        usual = self._service_time
+    def _send(self, request: ReplayedRequest) -> None:
+        vm = request.vm
         criteria = PlacementCriteria(
             object_key=request.object_key,
-            region=region,
+            region=vm.region,
             home_regions=(),
-            max_wait=max(OBJECTIVE - usual, usual * 0.25),
+            objective_left=OBJECTIVE,
+            time_left=TIMEOUT,
             cold_limit=0,
         )
-        chosen = self._choose(criteria, request.targets, usual, self._now)
+        estimates = ServiceEstimates(
+            self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
+        )
+        chosen = self._choose(criteria, vm.targets, estimates)
         if isinstance(chosen, Refusal):
             self.result.refused += 1
             return
-        request.state = chosen.state
+        request.choice = chosen
         chosen.state.record_sent(self._now)
+        chosen.state.record_object(request.object_key)
         target = self._targets[chosen.state.entry.target]
         if len(target.waiting) >= QUEUE_LENGTH:
             chosen.state.record_ended()
             report = LoadReport(
                 target.running, len(target.waiting), SLOTS_PER_TARGET
             )
+            chosen.state.forget_object(request.object_key)
             chosen.state.record_rejection(self._now, report)
             self.result.refused += 1
             return
@@ -188,44 +213,43 @@
             self.result.in_objective += 1
         else:
             self.result.late += 1
-        state = request.state
-        assert state is not None
+        choice = request.choice
+        assert choice is not None
+        state = choice.state
         state.record_ended()
         report = LoadReport(
             target.running, len(target.waiting), SLOTS_PER_TARGET
         )
         state.record_response(self._now, report, failed=False)
-        self._service_time += (duration - self._service_time) * 0.05
+        request.vm.record(choice, duration)
 
     def _time_out(self, request: ReplayedRequest) -> None:
-        if request.has_ended or request.state is None:
+        if request.has_ended or request.choice is None:
             return
         request.has_ended = True
         self.result.timed_out += 1
-        request.state.record_ended()
-        request.state.record_failure(self._now)
+        request.choice.state.record_ended()
+        request.choice.state.record_failure(self._now)
 
 
 def choose_least_loaded(
     criteria: PlacementCriteria,
     targets: ServiceTargets,
-    _service_time: timedelta,
-    now: timedelta,
+    estimates: ServiceEstimates,
 ) -> Choice | Refusal:
     """Baseline: the target with the fewest requests; none is rejected."""
-    chosen = min(targets.states, key=lambda state: state.load(now))
-    return Choice(chosen, 0, ZERO)
+    chosen = min(targets.states, key=lambda state: state.load(estimates.now))
+    return Choice(chosen, 0, Familiarity.PREFERRED, ZERO, ZERO)
 
 
 def choose_first_in_order(
     criteria: PlacementCriteria,
     targets: ServiceTargets,
-    _service_time: timedelta,
-    _now: timedelta,
+    _estimates: ServiceEstimates,
 ) -> Choice | Refusal:
     """Baseline: always the first target of the object's order."""
     order = targets.order(criteria.object_key, criteria.region, frozenset())
-    return Choice(order[0], 0, ZERO)
+    return Choice(order[0], 0, Familiarity.PREFERRED, ZERO, ZERO)
 
 
 def _targets(
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -20,6 +20,7 @@
     SERVICE_TIME,
     criteria,
     entry,
+    estimates,
     idle_targets,
 )
 
@@ -27,9 +28,7 @@
 
 
 def _chosen(targets: list[TargetState], key: str = 'object') -> str:
-    choice = choose_target(
-        criteria(key), ServiceTargets(targets), SERVICE_TIME, NOW
-    )
+    choice = choose_target(criteria(key), ServiceTargets(targets), estimates())
     assert isinstance(choice, Choice)
     return choice.state.entry.target
 
@@ -143,7 +142,7 @@
         for name, wanted, listed in cases:
             with self.subTest(name):
                 refusal = choose_target(
-                    wanted, ServiceTargets(listed), SERVICE_TIME, NOW
+                    wanted, ServiceTargets(listed), estimates()
                 )
                 assert isinstance(refusal, Refusal)
                 self.assertIs(refusal.reason, RefusalReason.NO_TARGET)
@@ -187,7 +186,7 @@
         first.record_sent(NOW)
         later = NOW + timedelta(seconds=1)
         choice = choose_target(
-            criteria(), ServiceTargets(listed), SERVICE_TIME, later
+            criteria(), ServiceTargets(listed), estimates(later)
         )
         assert isinstance(choice, Choice)
         self.assertIsNot(choice.state, first)
@@ -201,7 +200,7 @@
             first.record_failure(NOW)
         later = NOW + timedelta(seconds=10)
         choice = choose_target(
-            criteria(), ServiceTargets(listed), SERVICE_TIME, later
+            criteria(), ServiceTargets(listed), estimates(later)
         )
         assert isinstance(choice, Choice)
         self.assertEqual(choice.state.entry.target, name)
@@ -215,9 +214,7 @@
         listed = idle_targets('a', 'b')
         for state in listed:
             _fill(state, state.entry.slots * 4)
-        refusal = choose_target(
-            criteria(), ServiceTargets(listed), SERVICE_TIME, NOW
-        )
+        refusal = choose_target(criteria(), ServiceTargets(listed), estimates())
         assert isinstance(refusal, Refusal)
         self.assertIs(refusal.reason, RefusalReason.NO_CAPACITY)
         self.assertGreater(refusal.retry_after, SERVICE_TIME)
