Placement: use a target again when the list that drained it takes the drain back

Found by the property test of skipped updates (hypothesis, a new example): one control VM lists a target as draining, another does not, then the first takes it back. Its list now equals the one that the table was built from, so the update was skipped and the target stayed unused until some other target changed. The table is rebuilt whenever an update ends a drain. The example is a test now, which fails without the change.

--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -57,8 +57,10 @@
     ) -> None:
         """Apply an update of the list that the control VM ``source`` sent."""
         received = self._lists.setdefault(source, TargetListing())
+        draining = _draining_targets(received)
         received.apply(update, now)
-        if self._changes_targets(update):
+        drain_ended = bool(draining - _draining_targets(received))
+        if drain_ended or self._changes_targets(update):
             self._rebuild(now)
 
     def remove_source(self, source: VmId) -> None:
@@ -156,6 +158,12 @@
         return entry.draining
 
 
+def _draining_targets(listing: TargetListing) -> frozenset[TargetId]:
+    return frozenset(
+        target for target, entry in listing.entries.items() if entry.draining
+    )
+
+
 def _is_restarted(current: TargetEntry, entry: TargetEntry) -> bool:
     previous = (current.address, current.service, current.started_ms)
     return previous != (entry.address, entry.service, entry.started_ms)
--- a/tests/placement/test_board.py
+++ b/tests/placement/test_board.py
@@ -123,6 +123,18 @@
                 _cold_targets(table, now), _cold_targets(reference, now)
             )
 
+    def test_drain_that_a_list_takes_back(self) -> None:
+        """The list equals that of another control VM, so it looks unchanged.
+
+        The target stayed unused until some other target changed.
+        """
+        table = TargetTable()
+        table.update(_FIRST, _update(entry('a', draining=True)), NOW)
+        table.update(_SECOND, _update(entry('a')), _SECOND_LATER)
+        self.assertEqual(_target_names(table), set())
+        table.update(_FIRST, _update(entry('a')), _SECOND_LATER)
+        self.assertEqual(_target_names(table), {'a'})
+
     def test_equal_list_is_skipped(self) -> None:
         """The same list from another control VM causes no rebuild."""
         table = TargetTable()
