Cold targets: requests that cannot be split evenly go to some entry VMs

Hypothesis: at 10 entry VMs a cold target's share, 7 requests a second, rounds down to none for each VM, so a target that starts, returns or was evacuated gets nothing for 4 s or more and then all its objects at once, while the others carry the load of the release, the lost zone or the evacuation.

Change: the roster of a control VM tells each entry VM its position among all; each target's remainder goes to as many VMs, to others for each target. A VM that knows no position takes only what can be split evenly.

--- a/libraries/control/plantainstand_control/_entries.py
+++ b/libraries/control/plantainstand_control/_entries.py
@@ -1,6 +1,6 @@
 """Entry VMs known from reports to this or another control VM."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 from plantainstand_core import VmId
@@ -29,7 +29,7 @@
         self._broadcast = broadcast
         self._local_reports: dict[Link, tuple[VmId, EntryReport]] = {}
         self._remote_reports: dict[Link, dict[VmId, EntryReport]] = {}
-        self._merged_entry_vms: Collection[EntryVm] | None = None
+        self._merged_entry_vms: Mapping[VmId, EntryVm] | None = None
 
     def entry_vms(self) -> Collection[EntryVm]:
         """Return all entry VMs, each once.
@@ -38,9 +38,11 @@
         it has told one control VM that it is leaving, the reports at others
         may still be older.
         """
-        if self._merged_entry_vms is None:
-            self._merged_entry_vms = self._merge()
-        return self._merged_entry_vms
+        return self._merged().values()
+
+    def positions(self) -> Mapping[VmId, int]:
+        """Return the position of each entry VM in the order of their ids."""
+        return {vm: number for number, vm in enumerate(sorted(self._merged()))}
 
     def full_update(self) -> EntryChanges:
         """Return all local reports, for a newly connected control VM."""
@@ -83,7 +85,12 @@
         _log.info('entry VM lost', entry=lost[0])
         self._broadcast(EntryChanges(full=False, updated=(), removed=lost[:1]))
 
-    def _merge(self) -> Collection[EntryVm]:
+    def _merged(self) -> Mapping[VmId, EntryVm]:
+        if self._merged_entry_vms is None:
+            self._merged_entry_vms = self._merge()
+        return self._merged_entry_vms
+
+    def _merge(self) -> Mapping[VmId, EntryVm]:
         merged: dict[VmId, EntryReport] = {}
         for reports in (
             dict(self._local_reports.values()),
@@ -92,12 +99,13 @@
             for vm, report in reports.items():
                 if vm not in merged or not report.ready:
                     merged[vm] = report
-        return tuple(
-            EntryVm(
-                chosen.client_address,
-                chosen.availability_zone,
-                chosen.region,
-                chosen.ready,
-            )
-            for chosen in merged.values()
-        )
+        return {entry: _entry_vm(chosen) for entry, chosen in merged.items()}
+
+
+def _entry_vm(report: EntryReport) -> EntryVm:
+    return EntryVm(
+        report.client_address,
+        report.availability_zone,
+        report.region,
+        report.ready,
+    )
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
+import msgspec
 import structlog
 from plantainstand_consensus import decode_message
 from plantainstand_core import Clock, LogIndex, VmId
@@ -212,14 +213,20 @@
 
     def _send_rosters(self) -> None:
         live_vms = self._peers.live_vms()
+        positions = self._entries.positions()
         roster = Roster(
-            tuple(live_vms[vm] for vm in sorted(live_vms)),
-            len(self._entries.entry_vms()),
+            tuple(live_vms[vm] for vm in sorted(live_vms)), len(positions)
         )
         self._peers.broadcast(roster)
-        frame = encode_fleet_message(roster)
         for link, peer in self._link_peers.items():
-            if peer.role is VmRole.ENTRY and peer.roster_frame != frame:
+            if peer.role is not VmRole.ENTRY:
+                continue
+            frame = encode_fleet_message(
+                msgspec.structs.replace(
+                    roster, entry_position=positions.get(peer.vm)
+                )
+            )
+            if peer.roster_frame != frame:
                 peer.roster_frame = frame
                 link.send(frame)
 
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -211,7 +211,9 @@
     def _apply_roster(self, vm: VmId, roster: Roster) -> None:
         self._rosters[vm] = frozenset(roster.controls)
         self._record_named(roster.controls)
-        self._state.fleet_size.record(vm, roster.entry_count)
+        self._state.fleet_size.record(
+            vm, roster.entry_count, roster.entry_position
+        )
         self._update_links()
 
     def _record_named(self, controls: Collection[ControlVm]) -> None:
--- a/libraries/edge/plantainstand_edge/_fleet_size.py
+++ b/libraries/edge/plantainstand_edge/_fleet_size.py
@@ -12,18 +12,32 @@
 
     def __init__(self) -> None:
         """Create a size without reported numbers."""
-        self._counts: dict[VmId, int] = {}
+        self._reports: dict[VmId, tuple[int, int | None]] = {}
 
     @property
     def entry_count(self) -> int:
         """Number of entry VMs that share a limit, this one included."""
-        return max(self._counts.values(), default=ASSUMED_ENTRY_COUNT)
+        return self._largest()[0]
 
-    def record(self, source: VmId, entry_count: int) -> None:
-        """Record the number that the control VM ``source`` reports."""
-        self._counts[source] = max(1, entry_count)
+    @property
+    def position(self) -> int | None:
+        """Position of this VM among these, from 0, if known."""
+        return self._largest()[1]
+
+    def record(
+        self, source: VmId, entry_count: int, position: int | None = None
+    ) -> None:
+        """Record what the control VM ``source`` reports."""
+        self._reports[source] = (max(1, entry_count), position)
 
     def remove_source(self, source: VmId) -> None:
-        """Drop a control VM's number, unless no other is known."""
-        if len(self._counts) > 1:
-            self._counts.pop(source, None)
+        """Drop a control VM's report, unless no other is known."""
+        if len(self._reports) > 1:
+            self._reports.pop(source, None)
+
+    def _largest(self) -> tuple[int, int | None]:
+        return max(
+            self._reports.values(),
+            key=lambda report: report[0],
+            default=(ASSUMED_ENTRY_COUNT, None),
+        )
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -16,6 +16,7 @@
 )
 from plantainstand_placement import (
     Choice,
+    ColdRequestShare,
     LongestDurations,
     PlacementCriteria,
     Refusal,
@@ -226,7 +227,7 @@
             home_regions=active.match.route.home_regions,
             objective_left=active.objective - now,
             time_left=active.deadline - now,
-            cold_limit=self._cold_limit(active),
+            cold_share=self._cold_share(active),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
             ),
@@ -240,12 +241,12 @@
         targets = inputs.target_table.targets_of(active.service)
         return choose_target(criteria, targets, estimates)
 
-    def _cold_limit(self, active: ActiveRequest) -> int:
+    def _cold_share(self, active: ActiveRequest) -> ColdRequestShare:
         policy = self._inputs.desired_view.service_policy(active.service)
         rate = 0 if policy is None else policy.cold_requests_per_second
-        entry_count = self._inputs.fleet_size.entry_count
-        return self._settings.cold_target_limits.requests_per_vm(
-            rate, entry_count
+        fleet_size = self._inputs.fleet_size
+        return self._settings.cold_target_limits.share(
+            rate, fleet_size.entry_count, fleet_size.position
         )
 
     def _may_retry(self, active: ActiveRequest) -> bool:
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -113,6 +113,11 @@
     entry_count: int
     """Number of entry VMs that report to any control VM."""
 
+    entry_position: int | None = None
+    """Position of the receiver among these, from 0; None if it has not yet
+    reported or is a control VM. Limits that cannot be split evenly are split by
+    it."""
+
 
 class ReplicaMessage(_Message, frozen=True):
     """A message between replicas of the log."""
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -10,7 +10,7 @@
     ServiceEstimates,
     choose_target,
 )
-from plantainstand_placement._cold import ColdTargetLimits
+from plantainstand_placement._cold import ColdRequestShare, ColdTargetLimits
 from plantainstand_placement._departure import (
     LongestDurations,
     ends_before_exit,
@@ -26,6 +26,7 @@
 
 __all__ = (
     'Choice',
+    'ColdRequestShare',
     'ColdTargetLimits',
     'Familiarity',
     'PlacementCriteria',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -22,6 +22,7 @@
 
 from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
 
+from plantainstand_placement._cold import ColdRequestShare
 from plantainstand_placement._run_times import Familiarity, RunTimeEstimates
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
@@ -121,8 +122,8 @@
     time_left: timedelta
     """Time until the request is given up."""
 
-    cold_limit: int
-    """Requests per second that this VM may send to one cold target."""
+    cold_share: ColdRequestShare
+    """Requests that this VM may send to cold targets."""
 
     evacuated_availability_zones: frozenset[AvailabilityZoneId] = frozenset()
     """Availability zones whose targets receive no requests."""
@@ -263,10 +264,10 @@
         return False
     if criteria.home_regions and entry.region not in criteria.home_regions:
         return False
-    if state.is_cold(now) and not state.cold_limiter.allows(
-        now, criteria.cold_limit
-    ):
-        return False
+    if state.is_cold(now):
+        limit = criteria.cold_share.limit(state.order_seed)
+        if not state.cold_limiter.allows(now, limit):
+            return False
     return not state.is_backing_off(now)
 
 
--- a/libraries/placement/plantainstand_placement/_cold.py
+++ b/libraries/placement/plantainstand_placement/_cold.py
@@ -19,15 +19,50 @@
     slack: float
     """Requests per second allowed in addition."""
 
-    def requests_per_vm(self, service_rate: float, entry_count: int) -> int:
-        """Return how many requests one VM may send in any second.
+    def share(
+        self, service_rate: float, entry_count: int, position: int | None
+    ) -> 'ColdRequestShare':
+        """Return one VM's share of the requests in any second.
 
         ``service_rate`` is the cold rate of the service, in requests per
-        second. Shares are rounded down, even to 0, so that the sum over all
-        ``entry_count`` VMs stays within the limit.
+        second; ``position`` is that of the VM among all ``entry_count`` VMs,
+        None if it is not known.
         """
         total = service_rate * self.factor + self.slack
-        return int(total * USED_COLD_LIMIT_FRACTION / max(1, entry_count))
+        return ColdRequestShare(
+            int(total * USED_COLD_LIMIT_FRACTION),
+            max(1, entry_count),
+            position,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRequestShare:
+    """Requests per second that one entry VM may send to each cold target.
+
+    Load pattern: after a release, an evacuation or a failed availability zone,
+    a fourth of the targets or more are cold at once, and each bears fewer
+    requests in a second than there are entry VMs. Shares rounded down would be
+    zero, and the other targets would carry the whole load until the cold
+    targets are warm. What cannot be split evenly therefore goes to some of the
+    VMs, to others for each target.
+    """
+
+    total: int
+    """Requests in a second that all VMs together may send to a target."""
+
+    entry_count: int
+    position: int | None
+    """Position of this VM among all, from 0; without it, the VM gets only what
+    can be split evenly."""
+
+    def limit(self, target_seed: int) -> int:
+        """Return this VM's requests per second to a target."""
+        even, rest = divmod(self.total, self.entry_count)
+        if self.position is None:
+            return even
+        turn = (self.position + target_seed) % self.entry_count
+        return even + (turn < rest)
 
 
 class ColdRequestLimiter:
--- a/tests/control/test_entries.py
+++ b/tests/control/test_entries.py
@@ -46,6 +46,18 @@
         self.first.remove_link(old)
         self.assertEqual(len(self.second.entry_vms()), 1)
 
+    def test_positions_agree(self) -> None:
+        """Control VMs that know the same entry VMs number them alike.
+
+        Otherwise two entry VMs could take the same part of a limit.
+        """
+        self._report_to_first(_link())
+        self.second.record_report(_link(), VmId('10.0.0.2'), _report())
+        self.first.apply_changes(_link(), self.second.full_update())
+        expected = {VmId('10.0.0.2'): 0, _VM: 1}
+        self.assertEqual(self.first.positions(), expected)
+        self.assertEqual(self.second.positions(), expected)
+
     def test_not_ready_takes_precedence(self) -> None:
         """An older report at another control VM does not make a stopping entry
         VM ready again.
--- a/tests/placement/builders.py
+++ b/tests/placement/builders.py
@@ -10,6 +10,7 @@
 )
 from plantainstand_fleet import TargetEntry
 from plantainstand_placement import (
+    ColdRequestShare,
     PlacementCriteria,
     RunTimeEstimates,
     ServiceEstimates,
@@ -68,7 +69,7 @@
         home_regions=tuple(RegionId(home) for home in home_regions),
         objective_left=objective_left,
         time_left=time_left,
-        cold_limit=cold_limit,
+        cold_share=ColdRequestShare(cold_limit, 1, 0),
         evacuated_availability_zones=frozenset(
             AvailabilityZoneId(zone) for zone in evacuated_availability_zones
         ),
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -17,6 +17,7 @@
 from plantainstand_fleet import TargetEntry
 from plantainstand_placement import (
     Choice,
+    ColdRequestShare,
     Familiarity,
     LoadReport,
     PlacementCriteria,
@@ -153,7 +154,7 @@
             home_regions=(),
             objective_left=OBJECTIVE,
             time_left=TIMEOUT,
-            cold_limit=0,
+            cold_share=ColdRequestShare(0, 1, 0),
         )
         estimates = ServiceEstimates(
             self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
