--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -75,7 +75,7 @@
             self._header_codec.target_headers(target, time_left),
         )
         state.record_sent(started)
-        state.record_object(active.object_key)
+        state.record_object(active.object_key, responded=False)
         # Stays set if the exchange is cancelled: the target may run on.
         active.is_sending = True
         streamed = False
@@ -142,6 +142,7 @@
             return None
         failed = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         state.record_response(now, stated.load, failed=failed)
+        state.record_object(active.object_key, responded=True)
         if failed and active.match.route.idempotent:
             active.maybe_ran = True
             active.last_error_response = response
--- a/libraries/placement/plantainstand_placement/_run_times.py
+++ b/libraries/placement/plantainstand_placement/_run_times.py
@@ -30,7 +30,12 @@
     """What an entry VM knows of an object at a target."""
 
     REPEATED = 'repeated'
-    """This VM has sent the object there before."""
+    """This VM has had a response for the object from there."""
+
+    STARTED = 'started'
+    """It has sent the object there and has had no response yet. Some targets
+    run further requests for an object quickly as soon as the first has begun,
+    others only once it has ended."""
 
     PREFERRED = 'preferred'
     """It has not, but the target is the first of the object's order, so other
@@ -45,16 +50,18 @@
     """Expected run times of one route's requests, without queueing."""
 
     repeated: timedelta
+    started: timedelta
     preferred: timedelta
     other: timedelta
 
     def expected(self, familiarity: Familiarity) -> timedelta:
         """Return the expected run time."""
-        if familiarity is Familiarity.REPEATED:
-            return self.repeated
-        if familiarity is Familiarity.PREFERRED:
-            return self.preferred
-        return self.other
+        return {
+            Familiarity.REPEATED: self.repeated,
+            Familiarity.STARTED: self.started,
+            Familiarity.PREFERRED: self.preferred,
+            Familiarity.OTHER: self.other,
+        }[familiarity]
 
 
 class RunTimes:
@@ -66,13 +73,14 @@
 
     def estimates(self, route: str) -> RunTimeEstimates:
         """Return the estimates of a route; guesses until runs are known."""
-        repeated = self._times.get((route, Familiarity.REPEATED))
-        preferred = self._times.get((route, Familiarity.PREFERRED))
-        other = self._times.get((route, Familiarity.OTHER))
+        repeated, started, preferred, other = (
+            self._times.get((route, familiarity)) for familiarity in Familiarity
+        )
         preferred = preferred or repeated or INITIAL_RUN_TIME
         repeated = repeated or preferred
         return RunTimeEstimates(
             repeated=min(repeated, preferred),
+            started=started or preferred,
             preferred=preferred,
             other=max(other or preferred, preferred),
         )
