Consensus: one of two candidates whose pre-votes cross gives up its own

Ruled out: disks, links, the target list (read at 33.2 s), the entry VMs (ready 0.2 s after the leader).

Change: a candidate that grants a pre-vote gives up its own, if the other has the newer log or, with equal logs, the higher id. Votes are not affected.

--- a/libraries/consensus/plantainstand_consensus/_election.py
+++ b/libraries/consensus/plantainstand_consensus/_election.py
@@ -32,6 +32,8 @@
             return
         if request.preliminary:
             granted = self._would_grant(request)
+            if granted:
+                self._yield_to(source, request)
         else:
             granted = self._grant(source, request)
         reply = VoteReply(
@@ -104,6 +106,22 @@
             return False
         return request.term > state.term and self._is_up_to_date(request)
 
+    def _yield_to(self, source: VmId, request: VoteRequest) -> None:
+        """Give up an own pre-vote for that of a candidate with precedence.
+
+        Replicas that restart together often begin their first elections within
+        one round trip. If both went on, they would split the votes, and nobody
+        would lead before another election timeout.
+        """
+        state = self._state
+        if state.role != Role.CANDIDATE or not self._preliminary:
+            return
+        theirs = (request.last_term, request.last_index, source)
+        own = (state.log.last_term, state.log.last_index, state.node.vm)
+        if theirs > own:
+            state.role = Role.FOLLOWER
+            state.reset_election_deadline()
+
     def _grant(self, source: VmId, request: VoteRequest) -> bool:
         state = self._state
         if request.term > state.term:
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -17,6 +17,7 @@
     AppendReply,
     JoinRequest,
     VoteReply,
+    VoteRequest,
 )
 from plantainstand_consensus._state import HEARTBEAT_INTERVAL, Role
 from plantainstand_core import DiskId, VmId
@@ -93,6 +94,57 @@
             self.assertIs(core.state.role, Role.CANDIDATE)
 
 
+class SimultaneousElectionTest(unittest.TestCase):
+    """Replicas that restart together must not split their votes.
+
+    Each split costs another election timeout, in which nothing is committed
+    and no entry VM becomes ready.
+    """
+
+    def test_one_of_two_candidates_yields(self) -> None:
+        """The one with the older log yields, or else that with the lower id."""
+        cases = (
+            ('same log, higher id', 'b', 2, True),
+            ('same log, lower id', '0', 2, False),
+            ('newer log, lower id', '0', 3, True),
+            ('older log, higher id', 'b', 1, False),
+        )
+        for name, other, last_index, yields in cases:
+            with self.subTest(name):
+                core = _restarted()
+                core.tick(_START + timedelta(seconds=1))
+                self.assertIs(core.state.role, Role.CANDIDATE)
+                core.receive(VmId(other), self._request(last_index))
+                expected = Role.FOLLOWER if yields else Role.CANDIDATE
+                self.assertIs(core.state.role, expected)
+
+    def test_candidate_with_votes_does_not_yield(self) -> None:
+        """After the pre-vote, only a newer term ends a campaign."""
+        core = _restarted()
+        core.tick(_START + timedelta(seconds=1))
+        _sync(core)
+        granted = VoteReply(
+            source_disk=_VOTER.disk,
+            term=1,
+            election_term=2,
+            granted=True,
+            preliminary=True,
+        )
+        core.receive(_VOTER.vm, granted)
+        core.receive(_VOTER.vm, self._request(last_index=2))
+        self.assertIs(core.state.role, Role.CANDIDATE)
+
+    def _request(self, last_index: int) -> VoteRequest:
+        return VoteRequest(
+            source_disk=_VOTER.disk,
+            destination_disk=_SELF.disk,
+            term=2,
+            last_index=last_index,
+            last_term=1,
+            preliminary=True,
+        )
+
+
 class CommitTest(unittest.TestCase):
     """Guards against commits that a later leader can undo."""
 
