Entry VM: log and count request limits that targets state

Change: the adapter decodes Server-Limit; an entry VM logs 'target limit changed' with the old and the new rate and counts the answers that state one. No decision uses it yet.

Test: test_request_limit, a table of well-formed and malformed values.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -131,6 +131,10 @@
         response = outcome.ok_value
         stated = self._header_codec.read_response_metadata(response)
         state = choice.state
+        if not stated.misdirected:
+            self._request_log.record_limit(
+                active, state.entry.target, stated.request_limit
+            )
         if stated.misdirected or stated.not_run:
             state.forget_object(active.object_key)
         if stated.misdirected:
--- a/libraries/edge/plantainstand_edge/_dialect.py
+++ b/libraries/edge/plantainstand_edge/_dialect.py
@@ -50,6 +50,10 @@
     load: LoadReport | None
     """Load that the target reports, if stated."""
 
+    request_limit: float | None = None
+    """Requests per second that the target takes from all entry VMs together,
+    if it states a limit."""
+
 
 @dataclass(frozen=True)
 class HeaderCodec:
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -63,6 +63,9 @@
         'plantainstand_entry_requests_total': 'Requests by outcome.',
         'plantainstand_entry_request_seconds': 'Time to an answer, by service.',
         'plantainstand_entry_bodies_total': 'Streamed bodies, whole or not.',
+        'plantainstand_entry_limit_answers_total': (
+            'Answers in which a target stated a request limit.'
+        ),
         'plantainstand_entry_connections_opened': 'Connections to targets.',
         'plantainstand_entry_controls': 'Control VMs connected.',
         'plantainstand_entry_list_age_seconds': 'Age of the target list.',
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -89,6 +89,27 @@
                 self.assertEqual(metadata.misdirected, misdirected)
                 self.assertEqual(metadata.load, load_report)
 
+    def test_request_limit(self) -> None:
+        """A limit that is no decimal number counts as not stated."""
+        cases = (
+            (b'6.5', 6.5),
+            (b' 12 ', 12),
+            (b'0.0', 0),
+            (b'nan', None),
+            (b'-1', None),
+            (b'1e9', None),
+            (b'', None),
+        )
+        for stated, expected in cases:
+            with self.subTest(stated):
+                headers = ((b'server-limit', stated),)
+                metadata = read_response_metadata(
+                    TargetResponse(200, headers, b'')
+                )
+                self.assertEqual(metadata.request_limit, expected)
+        unlimited = read_response_metadata(TargetResponse(200, (), b''))
+        self.assertIsNone(unlimited.request_limit)
+
     def test_retry_after_has_fractions(self) -> None:
         """Whole seconds would be too long for a deadline of half a second."""
         headers = local_response_headers(b'1', timedelta(milliseconds=250))
