Failing test: request limits that targets name for all VMs together

Twelve entry VMs and one control VM on loopback send to nine targets, three of which name limits (3, 6.5 and 1.2 requests/s). The bounds are the users': in any 4 s at most 1.5 times the limit + 5 from VMs told half a second before; and, for what one VM learns, the same bound for all VMs from 1 s after the first answer.

On this code: 80, 90 and 83 requests in 4 s from VMs that had been told; 23, 44 and 12.2 allowed. No rejected request.

--- /dev/null
+++ b/tests/platform_adapter/test_target_limits.py
@@ -0,0 +1,59 @@
+"""Guards the request limits that targets in need name for all VMs together."""
+
+import unittest
+from contextlib import AsyncExitStack
+from datetime import timedelta
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from plantainstand_core import SystemClock
+
+from tests.platform_adapter.limited_fleet import LimitedFleet, allowed_requests
+
+_VM_COUNT = 12
+_TARGETS_PER_REGION = 3
+_REQUESTS_PER_SECOND = 20
+_LIMITS = (3.0, 6.5, 1.2)
+"""Requests per second that one target of each region names; each gets about 27
+without a limit."""
+
+_SHARING_TIME = timedelta(seconds=1)
+"""Time after which a VM that a target has not told knows of its limit too."""
+
+
+class TargetLimitTests(unittest.IsolatedAsyncioTestCase):
+    """Twelve VMs send to nine targets, three of which name limits."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the fleet."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        folder = Path(self.stack.enter_context(TemporaryDirectory()))
+        self.fleet = LimitedFleet(_VM_COUNT, _TARGETS_PER_REGION)
+        await self.fleet.start(self.stack, folder)
+        self.limited = self.fleet.targets[::_TARGETS_PER_REGION]
+
+    async def test_limit_holds_for_all_vms_together(self) -> None:
+        """Guards against a limit that each VM ignores or keeps for itself."""
+        await self._send(1)
+        for target, limit in zip(self.limited, _LIMITS, strict=True):
+            target.limit = limit
+        named_at = SystemClock().monotonic()
+        await self._send(9)
+        for target, limit in zip(self.limited, _LIMITS, strict=True):
+            with self.subTest(limit=limit):
+                allowed = allowed_requests(limit)
+                told = target.most_in_window(named_at, told_only=True)
+                self.assertLessEqual(told, allowed)
+                every_vm = target.most_in_window(
+                    named_at + _SHARING_TIME, told_only=False
+                )
+                self.assertLessEqual(every_vm, allowed)
+                # The target is in need, not gone.
+                self.assertGreaterEqual(every_vm, limit * 2)
+        self.assertEqual(set(self.fleet.statuses), {200})
+
+    async def _send(self, seconds: float) -> None:
+        await self.fleet.send_requests(
+            _REQUESTS_PER_SECOND, timedelta(seconds=seconds)
+        )
