Request limits: what one VM learns binds all VMs together

Change: StatedLimits keeps the newest statement of each target, its end included. An entry VM reports at once what its answers say; control VMs pass it on. RequestLimits gives each VM a share that adds up to the limit, most of it to the target's region; what is beyond goes to later targets. If only limits are in the way, the request is rejected at once, and Retry-After is the time until the next one is allowed. The window of cold targets uses the same record of sends, so sends from just before a target turned cold count too.

--- a/libraries/control/plantainstand_control/_entries.py
+++ b/libraries/control/plantainstand_control/_entries.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Mapping
 
 import structlog
-from plantainstand_core import VmId
+from plantainstand_core import RegionId, VmId
 from plantainstand_fleet import EntryChanges, EntryReport
 from plantainstand_links import Link
 
@@ -44,6 +44,18 @@
         """Return the position of each entry VM in the order of their ids."""
         return {vm: number for number, vm in enumerate(sorted(self._merged()))}
 
+    def regional_positions(self) -> Mapping[VmId, tuple[int, int]]:
+        """Return each entry VM's position and number of VMs in its region."""
+        by_region: dict[RegionId, list[VmId]] = {}
+        merged = self._merged()
+        for entry in sorted(merged):
+            by_region.setdefault(merged[entry].region, []).append(entry)
+        return {
+            vm: (position, len(vms))
+            for vms in by_region.values()
+            for position, vm in enumerate(vms)
+        }
+
     def full_update(self) -> EntryChanges:
         """Return all local reports, for a newly connected control VM."""
         return EntryChanges(
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -34,6 +34,7 @@
 
 from plantainstand_control._directory import ClientLocation, choose_entry_vms
 from plantainstand_control._entries import EntryRegistry
+from plantainstand_control._limits import LimitExchange
 from plantainstand_control._members import MembershipView, choose_members
 from plantainstand_control._operator import OperatorService
 from plantainstand_control._peers import Peers
@@ -117,6 +118,7 @@
         )
         self._link_peers: dict[Link, _LinkPeer] = {}
         self._entries = EntryRegistry(self._peers.broadcast)
+        self._limits = LimitExchange(clock)
         self._desired_view = DesiredView()
         self._metrics = Metrics(METRIC_HELP)
         self._metrics_server = HttpServer(self._answer_metrics, clock)
@@ -215,17 +217,24 @@
         live_vms = self._peers.live_vms()
         positions = self._entries.positions()
         roster = Roster(
-            tuple(live_vms[vm] for vm in sorted(live_vms)), len(positions)
+            tuple(live_vms[vm] for vm in sorted(live_vms)),
+            len(positions),
+            limits=self._limits.for_control_vms(),
         )
         self._peers.broadcast(roster)
+        roster = msgspec.structs.replace(
+            roster, limits=self._limits.for_entry_vms()
+        )
+        regional_positions = self._entries.regional_positions()
         for link, peer in self._link_peers.items():
             if peer.role is not VmRole.ENTRY:
                 continue
-            frame = encode_fleet_message(
-                msgspec.structs.replace(
-                    roster, entry_position=positions.get(peer.vm)
-                )
+            numbered = _with_positions(
+                roster,
+                positions.get(peer.vm),
+                regional_positions.get(peer.vm, (None, None)),
             )
+            frame = encode_fleet_message(numbered)
             if peer.roster_frame != frame:
                 peer.roster_frame = frame
                 link.send(frame)
@@ -270,7 +279,10 @@
                 self._peers.record_message(peer.vm)
                 self._deliver_to_replica(peer.vm, payload)
             case EntryReport():
-                self._entries.record_report(link, peer.vm, message)
+                if self._limits.record_report(peer.vm, message.limits):
+                    self._send_rosters()
+                report = msgspec.structs.replace(message, limits=())
+                self._entries.record_report(link, peer.vm, report)
             case EntryChanges():
                 self._peers.record_message(peer.vm)
                 self._entries.apply_changes(link, message)
@@ -281,6 +293,8 @@
             case Roster():
                 self._peers.record_message(peer.vm)
                 self._peers.record_reported_live(message.controls)
+                if self._limits.record_from_peer(peer.vm, message.limits):
+                    self._send_rosters()
             case _:
                 _log.warning('message of unexpected type', peer=peer.vm)
 
@@ -344,3 +358,21 @@
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
         return Response(HTTPStatus.OK, (), self._metrics.render())
+
+
+def _with_positions(
+    roster: Roster,
+    position: int | None,
+    regional: tuple[int | None, int | None],
+) -> Roster:
+    """Return the roster for one entry VM.
+
+    ``regional`` is its position among the VMs of its region and their number.
+    """
+    region_position, region_count = regional
+    return msgspec.structs.replace(
+        roster,
+        entry_position=position,
+        region_entry_count=region_count,
+        region_entry_position=region_position,
+    )
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -27,6 +27,7 @@
 from plantainstand_edge._journey import ActiveRequest
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
+from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
 
@@ -44,6 +45,7 @@
         service_times: ServiceTimes,
         run_times: RunTimes,
         longest_durations: LongestDurations,
+        target_limits: TargetLimits,
         request_log: RequestLog,
         clock: Clock,
     ):
@@ -53,6 +55,7 @@
         self._service_times = service_times
         self._run_times = run_times
         self._longest_durations = longest_durations
+        self._target_limits = target_limits
         self._request_log = request_log
         self._clock = clock
 
@@ -67,6 +70,8 @@
         active.last_target = target
         active.last_rank = choice.rank
         active.last_familiarity = choice.familiarity.value
+        limit = self._target_limits.known(state.entry)
+        active.last_limit = None if limit is None else limit.rate
         active.last_expected_wait = choice.expected_wait
         active.last_expected_run = choice.expected_run
         active.tried_targets.add(target)
@@ -132,8 +137,8 @@
         stated = self._header_codec.read_response_metadata(response)
         state = choice.state
         if not stated.misdirected:
-            self._request_log.record_limit(
-                active, state.entry.target, stated.request_limit
+            self._target_limits.record_answer(
+                state.entry, stated.request_limit, active.metadata.log_id
             )
         if stated.misdirected or stated.not_run:
             state.forget_object(active.object_key)
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -13,6 +13,7 @@
     DesiredUpdate,
     EntryReport,
     Hello,
+    LimitStatement,
     Roster,
     TargetUpdate,
     VmRole,
@@ -29,6 +30,7 @@
 )
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._settings import EntrySettings
+from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
 
@@ -49,6 +51,7 @@
     desired_view: DesiredView
     target_table: TargetTable
     fleet_size: FleetSize
+    target_limits: TargetLimits
 
 
 class ControlLinks:
@@ -87,7 +90,7 @@
         """Report this VM's readiness to all connected control VMs."""
         self._ready = ready
         self._update_links()
-        frame = self._report_frame()
+        frame = self._report_frame(self._state.target_limits.take_unreported())
         for link in self._links.values():
             link.send(frame)
 
@@ -96,7 +99,7 @@
         for task in self._tasks.values():
             task.cancel()
 
-    def _report_frame(self) -> bytes:
+    def _report_frame(self, limits: tuple[LimitStatement, ...] = ()) -> bytes:
         settings = self._settings
         return encode_fleet_message(
             EntryReport(
@@ -104,6 +107,7 @@
                 settings.availability_zone,
                 settings.region,
                 self._ready,
+                limits,
             ),
         )
 
@@ -212,8 +216,13 @@
         self._rosters[vm] = frozenset(roster.controls)
         self._record_named(roster.controls)
         self._state.fleet_size.record(
-            vm, roster.entry_count, roster.entry_position
+            vm,
+            roster.entry_count,
+            roster.entry_position,
+            roster.region_entry_count,
+            roster.region_entry_position,
         )
+        self._state.target_limits.merge(vm, roster.limits)
         self._update_links()
 
     def _record_named(self, controls: Collection[ControlVm]) -> None:
--- a/libraries/edge/plantainstand_edge/_fleet_size.py
+++ b/libraries/edge/plantainstand_edge/_fleet_size.py
@@ -1,6 +1,7 @@
 """Number of entry VMs that share limits which hold for all together."""
 
 from plantainstand_core import VmId
+from plantainstand_placement import FleetPosition
 
 ASSUMED_ENTRY_COUNT = 400
 """Number assumed before a control VM has reported one: above that of today's
@@ -12,32 +13,41 @@
 
     def __init__(self) -> None:
         """Create a size without reported numbers."""
-        self._reports: dict[VmId, tuple[int, int | None]] = {}
+        self._reports: dict[VmId, FleetPosition] = {}
+
+    @property
+    def place(self) -> FleetPosition:
+        """Numbers by which this VM takes its share of limits."""
+        return max(
+            self._reports.values(),
+            key=lambda report: report.entry_count,
+            default=FleetPosition(ASSUMED_ENTRY_COUNT),
+        )
 
     @property
     def entry_count(self) -> int:
         """Number of entry VMs that share a limit, this one included."""
-        return self._largest()[0]
+        return self.place.entry_count
 
     @property
     def position(self) -> int | None:
         """Position of this VM among these, from 0, if known."""
-        return self._largest()[1]
+        return self.place.position
 
     def record(
-        self, source: VmId, entry_count: int, position: int | None = None
+        self,
+        source: VmId,
+        entry_count: int,
+        position: int | None = None,
+        region_count: int | None = None,
+        region_position: int | None = None,
     ) -> None:
         """Record what the control VM ``source`` reports."""
-        self._reports[source] = (max(1, entry_count), position)
+        self._reports[source] = FleetPosition(
+            max(1, entry_count), position, region_count, region_position
+        )
 
     def remove_source(self, source: VmId) -> None:
         """Drop a control VM's report, unless no other is known."""
         if len(self._reports) > 1:
             self._reports.pop(source, None)
-
-    def _largest(self) -> tuple[int, int | None]:
-        return max(
-            self._reports.values(),
-            key=lambda report: report[0],
-            default=(ASSUMED_ENTRY_COUNT, None),
-        )
--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -50,6 +50,10 @@
     last_familiarity: str | None = None
     """What this VM knew of the object at the last target."""
 
+    last_limit: float | None = None
+    """Requests per second that the last target took from all entry VMs, if it
+    had stated a limit."""
+
     last_expected_wait: timedelta = timedelta()
     """Estimated wait in the last target's queue."""
 
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -29,6 +29,7 @@
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._settings import EntrySettings
 from plantainstand_edge._steering import RequestSteering, SteeringInputs
+from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
 
@@ -69,6 +70,9 @@
         'plantainstand_entry_connections_opened': 'Connections to targets.',
         'plantainstand_entry_controls': 'Control VMs connected.',
         'plantainstand_entry_list_age_seconds': 'Age of the target list.',
+        'plantainstand_entry_limited_targets': (
+            'Targets known to have a request limit.'
+        ),
         'plantainstand_entry_desired_index': 'Log index of the desired state.',
     },
 )
@@ -91,6 +95,7 @@
         self._fleet_size = FleetSize()
         self._pool = TargetConnectionPool(clock)
         self._metrics = Metrics(METRIC_HELP)
+        self._target_limits = TargetLimits(self._metrics, clock, self._report)
         self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
         inputs = SteeringInputs(
             self._desired_view,
@@ -98,6 +103,7 @@
             self._pool,
             RetryBudgetShare(settings.retry_budget_limits),
             self._fleet_size,
+            self._target_limits,
             self._metrics,
         )
         self._steering = RequestSteering(settings, inputs, header_codec, clock)
@@ -110,7 +116,10 @@
         self._links = ControlLinks(
             settings,
             ControlPlaneState(
-                self._desired_view, self._target_table, self._fleet_size
+                self._desired_view,
+                self._target_table,
+                self._fleet_size,
+                self._target_limits,
             ),
             clock,
             self._handle_change,
@@ -236,11 +245,13 @@
 
     def _render_metrics(self) -> bytes:
         prefix = 'plantainstand_entry_'
-        age = self._target_table.age(self._clock.monotonic())
+        now = self._clock.monotonic()
+        age = self._target_table.age(now)
         readings = {
             'connections_opened': self._pool.opened_count,
             'controls': self._links.connected_count,
             'list_age_seconds': age.total_seconds(),
+            'limited_targets': self._target_limits.stated.limited_count(now),
             'desired_index': self._desired_view.index,
         }
         for name, reading in readings.items():
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 import structlog
-from plantainstand_core import Clock, TargetId
+from plantainstand_core import Clock
 from plantainstand_desired import DesiredView
 from plantainstand_http import FailureKind, StreamEnd
 from plantainstand_placement import TargetState, TargetTable
@@ -33,31 +33,6 @@
         self._service_times = service_times
         self._metrics = metrics
         self._clock = clock
-        self._limits: dict[TargetId, float] = {}
-
-    def record_limit(
-        self, active: ActiveRequest, target: TargetId, rate: float | None
-    ) -> None:
-        """Count the answers that state a request limit; log each change.
-
-        ``rate`` is in requests per second, None for an answer without a limit.
-        """
-        if rate is not None:
-            self._metrics.count('plantainstand_entry_limit_answers_total')
-        previous = self._limits.get(target)
-        if rate == previous:
-            return
-        if rate is None:
-            self._limits.pop(target)
-        else:
-            self._limits[target] = rate
-        _log.info(
-            'target limit changed',
-            target=target,
-            rate=rate,
-            previous=previous,
-            request=active.metadata.log_id,
-        )
 
     def record_request(
         self, active: ActiveRequest, status: int, outcome: str
@@ -86,6 +61,7 @@
             target=active.last_target,
             target_rank=active.last_rank,
             familiarity=active.last_familiarity,
+            target_limit=active.last_limit,
             expected_wait_ms=_milliseconds(active.last_expected_wait),
             expected_run_ms=_milliseconds(active.last_expected_run),
             objective_ms=_milliseconds(
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -21,6 +21,7 @@
     PlacementCriteria,
     Refusal,
     RefusalReason,
+    RequestLimits,
     RetryBudgetShare,
     RunTimes,
     ServiceEstimates,
@@ -38,6 +39,7 @@
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
 from plantainstand_edge._settings import EntrySettings
+from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
 
@@ -74,6 +76,7 @@
     pool: TargetConnectionPool
     retry_budget: RetryBudgetShare
     fleet_size: FleetSize
+    target_limits: TargetLimits
     metrics: Metrics
 
 
@@ -111,6 +114,7 @@
             self._service_times,
             self._run_times,
             self._longest_durations,
+            inputs.target_limits,
             self._request_log,
             clock,
         )
@@ -228,6 +232,11 @@
             objective_left=active.objective - now,
             time_left=active.deadline - now,
             cold_share=self._cold_share(active),
+            request_limits=RequestLimits(
+                self._settings.region,
+                inputs.fleet_size.place,
+                inputs.target_limits.stated,
+            ),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
             ),
--- /dev/null
+++ b/libraries/edge/plantainstand_edge/_target_limits.py
@@ -0,0 +1,84 @@
+"""Request limits that targets state, learned from answers and control VMs."""
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import structlog
+from plantainstand_core import Clock, VmId
+from plantainstand_fleet import (
+    KnownLimit,
+    LimitStatement,
+    StatedLimits,
+    TargetEntry,
+)
+from plantainstand_telemetry import Metrics
+
+_log = structlog.get_logger()
+
+LIMIT_END_DELAY = timedelta(seconds=1)
+"""Age of a target's newest statement from which an answer without a limit ends
+the limit. An answer that left the target before the statement may arrive after
+it."""
+
+
+class TargetLimits:
+    """Newest limits; passes on what this VM learns from answers."""
+
+    def __init__(
+        self, metrics: Metrics, clock: Clock, on_news: Callable[[], None]
+    ):
+        """``on_news`` is called when a limit is to be reported at once."""
+        self.stated = StatedLimits()
+        self._metrics = metrics
+        self._clock = clock
+        self._on_news = on_news
+        self._unreported = StatedLimits()
+
+    def known(self, entry: TargetEntry) -> KnownLimit | None:
+        """Return the limit of a target; None if it has none."""
+        key = (entry.target, entry.started_ms)
+        return self.stated.limit(key, self._clock.monotonic())
+
+    def record_answer(
+        self, entry: TargetEntry, rate: float | None, request_id: str
+    ) -> None:
+        """Record the limit, in requests per second, that an answer states."""
+        if rate is not None:
+            self._metrics.count('plantainstand_entry_limit_answers_total')
+        known = self.known(entry)
+        now = self._clock.monotonic()
+        if rate is None and (
+            known is None or now - known.stated_at < LIMIT_END_DELAY
+        ):
+            return
+        statement = LimitStatement(
+            entry.target, entry.started_ms, rate, age_seconds=0
+        )
+        self._unreported.merge((statement,), now)
+        for changed in self.stated.merge((statement,), now):
+            _log_change(changed, request=request_id)
+            self._on_news()
+
+    def merge(
+        self, control: VmId, statements: Sequence[LimitStatement]
+    ) -> None:
+        """Take over the statements that a control VM has collected."""
+        now = self._clock.monotonic()
+        for changed in self.stated.merge(statements, now):
+            _log_change(changed, control=control)
+
+    def take_unreported(self) -> tuple[LimitStatement, ...]:
+        """Return the statements that no report has contained yet."""
+        statements = self._unreported.statements(self._clock.monotonic())
+        self._unreported = StatedLimits()
+        return statements
+
+
+def _log_change(statement: LimitStatement, **source: str) -> None:
+    _log.info(
+        'target limit changed',
+        target=statement.target,
+        rate=statement.rate,
+        age_s=round(statement.age_seconds, 2),
+        **source,
+    )
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -8,6 +8,7 @@
     EntryReport,
     FleetMessage,
     Hello,
+    LimitStatement,
     ReplicaMessage,
     Roster,
     TargetEntry,
@@ -16,6 +17,11 @@
     decode_fleet_message,
     encode_fleet_message,
 )
+from plantainstand_fleet._stated_limits import (
+    KnownLimit,
+    StatedLimits,
+    StatementKey,
+)
 
 __all__ = (
     'ControlVm',
@@ -24,8 +30,12 @@
     'EntryReport',
     'FleetMessage',
     'Hello',
+    'KnownLimit',
+    'LimitStatement',
     'ReplicaMessage',
     'Roster',
+    'StatedLimits',
+    'StatementKey',
     'TargetEntry',
     'TargetListing',
     'TargetUpdate',
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -38,6 +38,21 @@
     """Newest log index whose changes the sender has applied."""
 
 
+class LimitStatement(msgspec.Struct, frozen=True, array_like=True):
+    """What a target stated last on the requests that it takes."""
+
+    target: TargetId
+    started_ms: int
+    """Start of the target's process; a restarted process states anew."""
+
+    rate: float | None
+    """Requests per second from all entry VMs together; None if the target no
+    longer states a limit."""
+
+    age_seconds: float
+    """Time since the target's answer arrived at an entry VM."""
+
+
 class EntryReport(_Message, frozen=True):
     """An entry VM's report on itself, sent twice a second."""
 
@@ -49,6 +64,9 @@
     ready: bool
     """Whether the directory may send clients to the VM."""
 
+    limits: tuple[LimitStatement, ...] = ()
+    """Limits in the answers that the VM received since its last report."""
+
 
 class TargetEntry(msgspec.Struct, frozen=True, array_like=True):
     """A target on the platform's list."""
@@ -118,6 +136,16 @@
     reported or is a control VM. Limits that cannot be split evenly are split by
     it."""
 
+    region_entry_count: int | None = None
+    """Number of entry VMs in the receiver's region."""
+
+    region_entry_position: int | None = None
+    """Position of the receiver among these, from 0."""
+
+    limits: tuple[LimitStatement, ...] = ()
+    """For an entry VM all limits that are known; for a control VM those that
+    entry VMs have reported to the sender itself."""
+
 
 class ReplicaMessage(_Message, frozen=True):
     """A message between replicas of the log."""
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -15,6 +15,10 @@
     LongestDurations,
     ends_before_exit,
 )
+from plantainstand_placement._request_limits import (
+    FleetPosition,
+    RequestLimits,
+)
 from plantainstand_placement._run_times import (
     Familiarity,
     RunTimeEstimates,
@@ -29,10 +33,12 @@
     'ColdRequestShare',
     'ColdTargetLimits',
     'Familiarity',
+    'FleetPosition',
     'PlacementCriteria',
     'LoadReport',
     'LongestDurations',
     'Refusal',
+    'RequestLimits',
     'RefusalReason',
     'RetryBudgetShare',
     'RetryBudgetLimits',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -25,7 +25,8 @@
 
 from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
 
-from plantainstand_placement._cold import ColdRequestShare
+from plantainstand_placement._cold import COLD_WINDOW, ColdRequestShare
+from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._run_times import Familiarity, RunTimeEstimates
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
@@ -77,6 +78,10 @@
     NO_TARGET = 'no target'
     """No target of the service may receive the request."""
 
+    LIMITED = 'request limits spent'
+    """All targets that may receive the request have stated limits, and this
+    VM has used its shares."""
+
     NO_CAPACITY = 'no capacity'
     """The response would come too late."""
 
@@ -136,6 +141,9 @@
     cold_share: ColdRequestShare
     """Requests that this VM may send to cold targets."""
 
+    request_limits: RequestLimits
+    """Requests that this VM may send to targets that state limits."""
+
     evacuated_availability_zones: frozenset[AvailabilityZoneId] = frozenset()
     """Availability zones whose targets receive no requests."""
 
@@ -165,7 +173,7 @@
     """Choose one of a service's targets, or reject the request."""
     candidates = _candidates(criteria, targets, estimates)
     if not candidates:
-        return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
+        return _refuse_without_target(criteria, targets, estimates.now)
     options = [
         _option(state, rank, criteria, estimates)
         for rank, state in enumerate(candidates)
@@ -259,12 +267,9 @@
         criteria.evacuated_availability_zones,
     )
     for state in order:
-        if not _is_allowed(state, criteria, now):
+        if not _may_receive(state, criteria, now):
             continue
-        if state.failure_rate(now) > failure_limit or state.is_silent(
-            now,
-            estimates.mean_run_time,
-        ):
+        if _is_failing(state, failure_limit, estimates):
             failing.append(state)
             continue
         healthy.append(state)
@@ -273,6 +278,47 @@
     return (healthy + failing)[:MAX_CANDIDATES]
 
 
+def _may_receive(
+    state: TargetState, criteria: PlacementCriteria, now: timedelta
+) -> bool:
+    if not _is_allowed(state, criteria, now):
+        return False
+    return criteria.request_limits.wait(state, now) == timedelta()
+
+
+def _is_failing(
+    state: TargetState, failure_limit: float, estimates: ServiceEstimates
+) -> bool:
+    now = estimates.now
+    return state.failure_rate(now) > failure_limit or state.is_silent(
+        now, estimates.mean_run_time
+    )
+
+
+def _refuse_without_target(
+    criteria: PlacementCriteria, targets: ServiceTargets, now: timedelta
+) -> Refusal:
+    """Reject a request that no target may receive now.
+
+    If only request limits are in the way, the client may return when the first
+    of them allows another request.
+    """
+    order = targets.order(
+        criteria.object_key,
+        criteria.region,
+        criteria.evacuated_availability_zones,
+    )
+    allowed = [state for state in order if _is_allowed(state, criteria, now)]
+    if not allowed:
+        return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
+    waits = [criteria.request_limits.wait(state, now) for state in allowed]
+    soonest = min(
+        (wait for wait in waits if wait is not None),
+        default=NO_TARGET_RETRY_AFTER,
+    )
+    return Refusal(RefusalReason.LIMITED, max(soonest, RETRY_AFTER_MIN))
+
+
 def _is_allowed(
     state: TargetState, criteria: PlacementCriteria, now: timedelta
 ) -> bool:
@@ -283,7 +329,7 @@
         return False
     if state.is_cold(now):
         limit = criteria.cold_share.limit(state.order_seed)
-        if not state.cold_limiter.allows(now, limit):
+        if state.sends.count(now - COLD_WINDOW) >= limit:
             return False
     return not state.is_backing_off(now)
 
--- a/libraries/placement/plantainstand_placement/_cold.py
+++ b/libraries/placement/plantainstand_placement/_cold.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-_SECOND = timedelta(seconds=1)
+from plantainstand_placement._split_limit import split_limit
+
+COLD_WINDOW = timedelta(seconds=1)
+"""Sliding window in which the requests to a cold target are counted."""
 
 USED_COLD_LIMIT_FRACTION = 0.8
 """Fraction of the limit that is used: the known number of entry VMs lags."""
@@ -58,27 +61,6 @@
 
     def limit(self, target_seed: int) -> int:
         """Return this VM's requests per second to a target."""
-        even, rest = divmod(self.total, self.entry_count)
-        if self.position is None:
-            return even
-        turn = (self.position + target_seed) % self.entry_count
-        return even + (turn < rest)
-
-
-class ColdRequestLimiter:
-    """Sliding-window rate limiter for one cold target."""
-
-    def __init__(self) -> None:
-        """Create a limiter with an empty window."""
-        self._sent_at: list[timedelta] = []
-
-    def allows(self, now: timedelta, limit: int) -> bool:
-        """Tell whether one more request stays within ``limit`` per second."""
-        self._sent_at = [
-            sent_at for sent_at in self._sent_at if now - sent_at < _SECOND
-        ]
-        return len(self._sent_at) < limit
-
-    def record(self, now: timedelta) -> None:
-        """Record that a request is sent."""
-        self._sent_at.append(now)
+        return split_limit(
+            self.total, self.entry_count, self.position, target_seed
+        )
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -8,7 +8,7 @@
 import xxhash
 from plantainstand_fleet import TargetEntry
 
-from plantainstand_placement._cold import ColdRequestLimiter
+from plantainstand_placement._recent_sends import RecentSends
 
 _NEVER = timedelta.min
 
@@ -60,7 +60,7 @@
         self.order_seed = xxhash.xxh32_intdigest(entry.target.encode())
         self.in_flight = 0
         self.cold_until = _NEVER
-        self.cold_limiter = ColdRequestLimiter()
+        self.sends = RecentSends()
         self._other_load = float(0)
         self._other_load_at = now
         self._failure_rate = float(0)
@@ -121,8 +121,7 @@
         self.in_flight += 1
         if self._silent_since is None:
             self._silent_since = now
-        if self.is_cold(now):
-            self.cold_limiter.record(now)
+        self.sends.record(now)
 
     def record_ended(self) -> None:
         """Record that a request is no longer in flight, for any reason."""
--- a/tests/control/test_entries.py
+++ b/tests/control/test_entries.py
@@ -57,6 +57,9 @@
         expected = {VmId('10.0.0.2'): 0, _VM: 1}
         self.assertEqual(self.first.positions(), expected)
         self.assertEqual(self.second.positions(), expected)
+        regional = {VmId('10.0.0.2'): (0, 2), _VM: (1, 2)}
+        self.assertEqual(self.first.regional_positions(), regional)
+        self.assertEqual(self.second.regional_positions(), regional)
 
     def test_not_ready_takes_precedence(self) -> None:
         """An older report at another control VM does not make a stopping entry
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -24,6 +24,7 @@
 )
 from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._node import METRIC_HELP
+from plantainstand_edge._target_limits import TargetLimits
 from plantainstand_fleet import TargetUpdate
 from plantainstand_http import (
     ExchangeFailure,
@@ -178,13 +179,15 @@
         self.target_table = target_table
         fleet_size = FleetSize()
         fleet_size.record(VmId('10.0.0.1'), ENTRY_COUNT)
+        metrics = Metrics(METRIC_HELP)
         inputs = SteeringInputs(
             view,
             target_table,
             cast(TargetConnectionPool, pool or self.pool),
             RetryBudgetShare(SETTINGS.retry_budget_limits),
             fleet_size,
-            Metrics(METRIC_HELP),
+            TargetLimits(metrics, self.clock, lambda: None),
+            metrics,
         )
         self.steering = RequestSteering(
             SETTINGS, inputs, HEADER_CODEC, self.clock
--- a/tests/placement/builders.py
+++ b/tests/placement/builders.py
@@ -11,7 +11,9 @@
 from plantainstand_fleet import TargetEntry
 from plantainstand_placement import (
     ColdRequestShare,
+    FleetPosition,
     PlacementCriteria,
+    RequestLimits,
     RunTimeEstimates,
     ServiceEstimates,
     TargetState,
@@ -22,6 +24,7 @@
 OBJECTIVE_LEFT = SERVICE_TIME * 3
 TIME_LEFT = OBJECTIVE_LEFT * 2
 SERVICE = ServiceId('orders')
+NO_LIMITS = RequestLimits(RegionId('norte'), FleetPosition(1, 0))
 
 
 def entry(
@@ -61,6 +64,7 @@
     cold_limit: int = 2,
     tried_targets: tuple[str, ...] = (),
     evacuated_availability_zones: tuple[str, ...] = (),
+    request_limits: RequestLimits = NO_LIMITS,
 ) -> PlacementCriteria:
     """Return the criteria of a request that arrives in region ``norte``."""
     return PlacementCriteria(
@@ -70,6 +74,7 @@
         objective_left=objective_left,
         time_left=time_left,
         cold_share=ColdRequestShare(cold_limit, 1, 0),
+        request_limits=request_limits,
         evacuated_availability_zones=frozenset(
             AvailabilityZoneId(zone) for zone in evacuated_availability_zones
         ),
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -19,9 +19,11 @@
     Choice,
     ColdRequestShare,
     Familiarity,
+    FleetPosition,
     LoadReport,
     PlacementCriteria,
     Refusal,
+    RequestLimits,
     RunTimes,
     ServiceEstimates,
     ServiceTargets,
@@ -155,6 +157,7 @@
             objective_left=OBJECTIVE,
             time_left=TIMEOUT,
             cold_share=ColdRequestShare(0, 1, 0),
+            request_limits=RequestLimits(vm.region, FleetPosition(9)),
         )
         estimates = ServiceEstimates(
             self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
