plantainstandd: an answer whose head is cut is not whole

Cause: http.client takes the end of the connection for the end of the head. Without a Content-Length the body then ends with the connection, so an answer cut after its Request-Id counted as answered with an empty body. Class: the end of input taken for the end of a message.

Change: the response class remembers the last line of the head; if that is the end of the input, the attempt's outcome is unknown. Connections and their pool are a module of their own.

--- a/libraries/daemon/plantainstand_daemon/_dispatch.py
+++ b/libraries/daemon/plantainstand_daemon/_dispatch.py
@@ -1,6 +1,5 @@
 """HTTP client for attempts at targets; its calls block a worker thread."""
 
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -9,7 +8,6 @@
 
 import urllib3
 from plantainstand_core import RequestOutcome, TargetId
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ClosedPoolError,
     ConnectTimeoutError,
@@ -18,6 +16,7 @@
 )
 
 from plantainstand_daemon._messages import Answer, SteeredRequest
+from plantainstand_daemon._target_connection import TargetPool
 
 REQUEST_ID_HEADER = 'Request-Id'
 DEADLINE_HEADER = 'Request-Deadline-Ms'
@@ -28,9 +27,6 @@
 # The target stops at the request's deadline; the margin lets its refusal or
 # answer arrive before reading stops.
 _READ_MARGIN_SECONDS = 0.2
-# A device on the network path, such as a NAT gateway, may have dropped a
-# connection that was idle for longer, without either end noticing.
-_MAX_IDLE_SECONDS = 15.0
 _READ_CHUNK_BYTES = 65536
 _NO_TIME = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
@@ -97,35 +93,12 @@
     """
 
 
-class _Connection(HTTPConnection):
-    """Connection that is not reused after a long idle time."""
-
-    def __init__(self, *args: object, **kwargs: object) -> None:
-        super().__init__(*args, **kwargs)  # type: ignore[arg-type]
-        self._last_used_s = time.monotonic()
-
-    @property
-    def is_connected(self) -> bool:
-        """Whether the pool may reuse the connection."""
-        idle_s = time.monotonic() - self._last_used_s
-        return idle_s <= _MAX_IDLE_SECONDS and super().is_connected
-
-    def request(self, *args: object, **kwargs: object) -> None:
-        """Send a request and record the time."""
-        self._last_used_s = time.monotonic()
-        super().request(*args, **kwargs)  # type: ignore[arg-type]
-
-
-class _Pool(urllib3.HTTPConnectionPool):
-    ConnectionCls = _Connection  # noqa: WPS115
-
-
 class TargetClient:
     """HTTP client for targets; thread-safe."""
 
     def __init__(self) -> None:
         """Start without open connections."""
-        self._pools: dict[TargetAddress, _Pool] = {}
+        self._pools: dict[TargetAddress, TargetPool] = {}
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -235,7 +208,7 @@
             pool.close()
         return report
 
-    def _pool(self, address: TargetAddress) -> _Pool:
+    def _pool(self, address: TargetAddress) -> TargetPool:
         pool = self._pools.get(address)
         if pool is None:
             pool = _new_pool(address)
@@ -243,8 +216,10 @@
         return pool
 
 
-def _new_pool(address: TargetAddress) -> _Pool:
-    return _Pool(address.host, address.port, maxsize=address.max_connections)
+def _new_pool(address: TargetAddress) -> TargetPool:
+    return TargetPool(
+        address.host, address.port, maxsize=address.max_connections
+    )
 
 
 def _timeout(time_left: timedelta) -> urllib3.Timeout:
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -87,6 +87,21 @@
             with self.subTest(name), run_target(script) as port:
                 self.assertEqual(self._send(port).outcome, expected)
 
+    def test_answer_cut_at_every_byte(self) -> None:
+        """Guards against a cut head that is taken for a whole one.
+
+        Without its Content-Length, an answer ends with its connection, so the
+        caller would get an empty body that looks whole.
+        """
+        whole = response(_ID, extra_headers='Stamp: 3e1b\r\n')
+        parts = [whole[:length] for length, _byte in enumerate(whole)]
+        remaining = iter(parts)
+        with run_target(lambda _id: next(remaining)) as port:
+            for part in parts:
+                with self.subTest(part):
+                    outcome = self._send(port).outcome
+                    self.assertIs(outcome, DispatchOutcome.UNKNOWN)
+
     def test_refused_connection(self) -> None:
         """A refused connection proves that the request did not run."""
         with run_target(response) as port:
