Tests: cut answers and repeated refusals cannot reach a client of an entry VM

- An earlier refusal that a target writes once more on a kept connection (whole, in part, twice, without an id).
Shown impossible: the id of each answer is checked on a used connection, and a connection with a begun second answer is not used again.
Without an id the outcome is unknown, so nothing is claimed or sent again.
- An answer that ends at any of its bytes, head or body, with a length, chunked or without either.
Shown impossible: each cut ends as broken.
What no parser can tell is an answer without a length whose connection closes after the head.

--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from datetime import timedelta
 
@@ -33,6 +34,11 @@
     _LARGE,
 )
 _ENDLESS_REPEATS = 64
+_REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nX-Id: mine\r\nX-Not-Executed: 1\r\n'
+    b'Content-Length: 4\r\n\r\nfull'
+)
+_NEXT = b'HTTP/1.1 200 OK\r\nX-Id: next\r\nContent-Length: 4\r\n\r\nnext'
 _FILLER = bytes(MAX_FRAMING_BYTES // 8).replace(b'\0', b'x')
 
 
@@ -149,6 +155,45 @@
         self.assertEqual(await self._send(target), b'ok')
         self.assertEqual(await self._send(target), FailureKind.BROKEN)
 
+    async def test_answer_cut_at_every_byte(self) -> None:
+        """Guards against a cut head or body that is taken for a whole one."""
+        chunked = b'%sTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+        for whole in (_MATCHING, chunked % _HEAD, b'%s\r\n' % _HEAD):
+            for length, _byte in enumerate(whole):
+                with self.subTest(whole[:length]):
+                    script = Script((whole[:length],), 'close')
+                    outcome = await self._exchange(script)
+                    self.assertIs(outcome, FailureKind.BROKEN)
+
+    async def test_repeated_refusal(self) -> None:
+        """Guards against an old refusal that is taken for that of a request.
+
+        The target writes the refusal of an earlier request once more, whole or
+        in part, while it runs the next one.
+        """
+        unnamed = _REFUSAL.replace(b'X-Id: mine\r\n', b'')
+        cases: tuple[tuple[str, Sequence[bytes], bytes | FailureKind], ...] = (
+            ('at once', (_REFUSAL * 2, _NEXT), b'next'),
+            ('begun at once', (_REFUSAL + _REFUSAL[:9], _NEXT), b'next'),
+            ('before the answer', (_REFUSAL, _REFUSAL + _NEXT), b'next'),
+            ('twice before it', (_REFUSAL, _REFUSAL * 2 + _NEXT), b'next'),
+            ('alone', (_REFUSAL, _REFUSAL), FailureKind.TIMED_OUT),
+            ('without an id', (_REFUSAL, unnamed), FailureKind.BROKEN),
+        )
+        for name, answers, expected in cases:
+            with self.subTest(name):
+                scripts = [Script(answers), Script((_NEXT,))]
+                target = ScriptedTarget(scripts)
+                await target.start(self.stack)
+                self.assertEqual(await self._send(target), b'full')
+                outcome = await self.pool.exchange(
+                    target.address,
+                    _REQUEST,
+                    (b'x-id', b'next'),
+                    timedelta(milliseconds=200),
+                )
+                self.assertEqual(_body_or_failure(outcome), expected)
+
     async def test_late_copy_in_pieces(self) -> None:
         """A connection on which a second response has begun is not reused."""
         target = ScriptedTarget(
@@ -171,9 +216,7 @@
             _ECHOED_HEADER,
             _TIMEOUT,
         )
-        if isinstance(outcome, Err):
-            return outcome.err_value.kind
-        return outcome.ok_value.body
+        return _body_or_failure(outcome)
 
 
 class LargeResponseTests(_ClientCase):
@@ -276,6 +319,10 @@
         if isinstance(outcome, Err):
             return outcome.err_value.kind
         whole = await read_whole(outcome.ok_value, len(_LARGE) * 2)
-        if isinstance(whole, Err):
-            return whole.err_value.kind
-        return whole.ok_value.body
+        return _body_or_failure(whole)
+
+
+def _body_or_failure(outcome: ExchangeResult) -> bytes | FailureKind:
+    if isinstance(outcome, Err):
+        return outcome.err_value.kind
+    return outcome.ok_value.body
