Planned stop: requests that must not repeat are taken only if they end in time

Cause: a stopping VM accepted what the route's longest recent duration let it expect to end. A target that has just turned slow breaks that: with 0.5 s left, a route limit of 1 s and quick answers before, the old code sends both kinds (run on: status 200, second send, idempotent or not), and what is not answered at the exit gets 504 while its target works on it.

Change: a request that must not repeat, and any request from 2.8 s after the order to stop, is accepted only if its own time limit (the client's or the route's) ends before the exit; the others go by experience as before, since they can be repeated and have over 2.2 s. The check comes before each attempt, so a rejected request isn't sent again into the exit.

Test: test_late_request_of_a_quick_route replaces test_quick_route_is_served_longer, which demanded the old rule for all requests: its case stays for those that may repeat, and three new ones demand a rejection before anything is sent. The cases of test_departure are checked for both rules.

--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -47,6 +47,10 @@
 """Time before the exit at which requests that have not ended get a response, so
 that it can be sent."""
 
+CERTAIN_END_AFTER = timedelta(milliseconds=2800)
+"""Time after the order to stop from which only requests that are certain to end
+before the exit are accepted."""
+
 STOP_POLL_INTERVAL = timedelta(milliseconds=50)
 """Interval at which a stopping VM checks for unanswered requests."""
 
@@ -189,7 +193,10 @@
         self._report()
         self._server.announce_close()
         limit = self._settings.stop_grace_period - EXIT_MARGIN
-        self._steering.begin_stop(stop_began_at + limit - LAST_RESPONSES_TIME)
+        self._steering.begin_stop(
+            stop_began_at + CERTAIN_END_AFTER,
+            stop_began_at + limit - LAST_RESPONSES_TIME,
+        )
         await self._wait_until(
             lambda: self._elapsed_since(stop_began_at) > STOP_NOTICE
         )
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -100,6 +100,7 @@
         self._run_times = RunTimes()
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
+        self._notice_until: timedelta | None = None
         self._time_limits: set[asyncio.Timeout] = set()
         self._request_log = RequestLog(
             inputs.desired_view,
@@ -119,11 +120,14 @@
             clock,
         )
 
-    def begin_stop(self, exit_at: timedelta) -> None:
+    def begin_stop(self, notice_until: timedelta, exit_at: timedelta) -> None:
         """Reject requests that may not end before ``exit_at`` (monotonic).
 
         Requests that are accepted, now or earlier, get a response by then.
+        From ``notice_until`` on, only requests that are certain to end in time
+        are accepted.
         """
+        self._notice_until = notice_until
         self._exit_at = exit_at
         loop_time = self._exit_loop_time()
         for time_limit in self._time_limits:
@@ -181,9 +185,6 @@
         received = request.received_at
         client_timeout = metadata.client_timeout or DEFAULT_CLIENT_TIMEOUT
         timeout = min(client_timeout - RESPONSE_MARGIN, match.timeout)
-        deadline = received + timeout
-        if self._exit_at is not None:
-            deadline = min(deadline, self._exit_at)
         objective = timedelta(seconds=match.route.objective_seconds)
         service = self._splitter.pick(match)
         self._inputs.retry_budget.count_request(service, received)
@@ -192,15 +193,15 @@
             metadata=metadata,
             match=match,
             service=service,
-            deadline=deadline,
+            deadline=received + timeout,
             objective=received + objective,
         )
 
     async def _serve(self, active: ActiveRequest) -> Response:
-        if not self._ends_before_exit(active):
-            refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
-            return self._respond_without_success(active, refusal)
         while True:
+            if not self._ends_before_exit(active):
+                refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
+                return self._respond_without_success(active, refusal)
             choice = self._choose(active)
             if isinstance(choice, Refusal):
                 return self._respond_without_success(active, choice)
@@ -213,13 +214,15 @@
                 return self._respond_without_success(active, None)
 
     def _ends_before_exit(self, active: ActiveRequest) -> bool:
-        if self._exit_at is None:
+        if self._exit_at is None or self._notice_until is None:
             return True
         now = self._clock.monotonic()
+        is_noticed = now >= self._notice_until
         return ends_before_exit(
             self._longest_durations.longest(active.match.name, now),
-            active.match.timeout,
+            active.deadline - now,
             self._exit_at - now,
+            certain=is_noticed or not active.match.route.idempotent,
         )
 
     def _choose(self, active: ActiveRequest) -> Choice | Refusal:
--- a/libraries/placement/plantainstand_placement/_departure.py
+++ b/libraries/placement/plantainstand_placement/_departure.py
@@ -5,6 +5,12 @@
 is left. A request that cannot end before the process does would lose its
 answer while its target works on it, so it is rejected at once; the client then
 has most of its deadline left for another VM.
+
+How long a request runs is known only from earlier ones. One that must not
+repeat has no second try if it is broken off, so it is accepted only if its
+time limit ends before the process does. The same holds for all requests once
+clients have had notice of the stop: what still arrives is little, and a target
+that has just turned slow would have it broken off.
 """
 
 from datetime import timedelta
@@ -53,13 +59,19 @@
 
 
 def ends_before_exit(
-    longest: timedelta | None, time_limit: timedelta, time_left: timedelta
+    longest: timedelta | None,
+    time_limit: timedelta,
+    time_left: timedelta,
+    *,
+    certain: bool,
 ) -> bool:
     """Tell whether a request is expected to end before the process does.
 
     ``longest`` is the longest recent duration on the request's route, if any;
     ``time_limit`` is the time after which the request is given up anyway, and
-    ``time_left`` the time until the process ends.
+    ``time_left`` the time until the process ends. ``certain`` demands that the
+    request ends in time however long its target runs it.
     """
-    expected = time_limit if longest is None else min(longest, time_limit)
-    return expected <= time_left
+    if certain or longest is None:
+        return time_limit <= time_left
+    return min(longest, time_limit) <= time_left
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -46,20 +46,33 @@
         for left_ms, status in ((1200, 200), (900, 503)):
             with self.subTest(left_ms=left_ms):
                 fixture = SteeringFixture(ANSWERED)
-                left = timedelta(milliseconds=left_ms)
-                fixture.steering.begin_stop(fixture.clock.monotonic() + left)
+                _begin_stop(fixture, left_ms)
                 response = await fixture.steering.handle(fixture.request())
                 self.assertEqual(response.status, status)
                 self.assertEqual(len(fixture.pool.sent), status == 200)
 
-    async def test_quick_route_is_served_longer(self) -> None:
-        """Experience with a route counts more than its timeout."""
-        fixture = SteeringFixture(ANSWERED, ANSWERED)
-        await fixture.steering.handle(fixture.request())
-        left = timedelta(milliseconds=500)
-        fixture.steering.begin_stop(fixture.clock.monotonic() + left)
-        response = await fixture.steering.handle(fixture.request())
-        self.assertEqual(response.status, 200)
+    async def test_late_request_of_a_quick_route(self) -> None:
+        """Guards against requests that are taken late and cut at the exit.
+
+        All earlier answers were quick, but a target may turn slow. Experience
+        suffices for a request that may repeat, until clients have had notice.
+        """
+        cases = (
+            ('may repeat', True, 100, 200),
+            ('may repeat, after the notice', True, 0, 503),
+            ('must not repeat', False, 100, 503),
+            ('must not repeat, after the notice', False, 0, 503),
+        )
+        for name, idempotent, notice_ms, status in cases:
+            with self.subTest(name):
+                fixture = SteeringFixture(
+                    ANSWERED, ANSWERED, idempotent=idempotent
+                )
+                await fixture.steering.handle(fixture.request())
+                _begin_stop(fixture, 500, notice_ms)
+                response = await fixture.steering.handle(fixture.request())
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(fixture.pool.sent), 1 + (status == 200))
 
     async def test_response_before_the_exit(self) -> None:
         """Requests in flight must not end with a closed connection.
@@ -77,9 +90,7 @@
                 )
                 async with asyncio.timeout(_DEADLINE_SECONDS):
                     await pool.sent.wait()
-                    fixture.steering.begin_stop(
-                        fixture.clock.monotonic() + timedelta(milliseconds=20)
-                    )
+                    _begin_stop(fixture, 20)
                     response = await handling
                 self.assertEqual(response.status, 504)
                 line = _request_line(log)
@@ -102,6 +113,16 @@
         self.assertEqual((line['sends'], line['maybe_ran']), (1, True))
 
 
+def _begin_stop(
+    fixture: SteeringFixture, left_ms: int, notice_ms: int = 0
+) -> None:
+    now = fixture.clock.monotonic()
+    fixture.steering.begin_stop(
+        now + timedelta(milliseconds=notice_ms),
+        now + timedelta(milliseconds=left_ms),
+    )
+
+
 def _request_line(log: Mock) -> dict[str, object]:
     log.info.assert_called_once()
     return dict(log.info.call_args.kwargs)
--- a/tests/placement/test_departure.py
+++ b/tests/placement/test_departure.py
@@ -13,23 +13,33 @@
     """A request that outlasts the process loses its response."""
 
     def test_cases(self) -> None:
-        """The shorter of experience and time limit has to fit."""
+        """The shorter of experience and time limit has to fit.
+
+        Where the end must be certain, only the time limit counts.
+        """
         cases = (
-            ('no experience, long limit', None, 3000, 2000, False),
-            ('no experience, short limit', None, 800, 2000, True),
-            ('quick route', 250, 3000, 2000, True),
-            ('slow route', 2600, 3000, 2000, False),
-            ('slow route, early', 2600, 3000, 5000, True),
-            ('late answers beyond the limit', 4000, 1500, 2000, True),
-            ('after the exit', 1, 3000, -1, False),
+            ('no experience, long limit', None, 3000, 2000, False, False),
+            ('no experience, short limit', None, 800, 2000, True, True),
+            ('quick route', 250, 3000, 2000, True, False),
+            ('slow route', 2600, 3000, 2000, False, False),
+            ('slow route, early', 2600, 3000, 5000, True, True),
+            ('late answers beyond the limit', 4000, 1500, 2000, True, True),
+            ('after the exit', 1, 3000, -1, False, False),
         )
-        for name, longest, limit, left, expected in cases:
+        for name, longest, limit, left, expected, expected_certain in cases:
             with self.subTest(name):
                 known = None if longest is None else longest * _MILLISECOND
-                accepted = ends_before_exit(
-                    known, limit * _MILLISECOND, left * _MILLISECOND
-                )
-                self.assertIs(accepted, expected)
+                for certain, wanted in (
+                    (False, expected),
+                    (True, expected_certain),
+                ):
+                    accepted = ends_before_exit(
+                        known,
+                        limit * _MILLISECOND,
+                        left * _MILLISECOND,
+                        certain=certain,
+                    )
+                    self.assertIs(accepted, wanted)
 
 
 class LongestDurationsTests(unittest.TestCase):
