Request limits: rejected callers return one after the other

What callers would see: while all targets of a service state limits, all callers that were rejected got the same Retry-After, returned together for one allowed request, and all but one were rejected once more.

The decision stays a function of the estimates that it is given.

Test: test_callers_return_one_after_the_other; with the rule of all four callers get 0.6 s.

--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -23,6 +23,7 @@
     RefusalReason,
     RequestLimits,
     RetryBudgetShare,
+    ReturningCallers,
     RunTimes,
     ServiceEstimates,
     TargetTable,
@@ -98,6 +99,7 @@
         self._splitter = TrafficSplitter()
         self._service_times = ServiceTimes()
         self._run_times = RunTimes()
+        self._returning_callers = ReturningCallers()
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
         self._notice_until: timedelta | None = None
@@ -249,6 +251,7 @@
             now,
             self._run_times.estimates(active.match.name),
             self._service_times.estimate(active.service),
+            self._returning_callers.count(active.service, now),
         )
         targets = inputs.target_table.targets_of(active.service)
         return choose_target(criteria, targets, estimates)
@@ -324,6 +327,9 @@
         else:
             retry_after = refusal.retry_after
             reason = refusal.reason.value
+            if refusal.reason is RefusalReason.LIMITED:
+                return_at = self._clock.monotonic() + retry_after
+                self._returning_callers.record(active.service, return_at)
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._request_log.record_request(active, status, reason)
         return self._local_response(
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -19,6 +19,7 @@
     FleetPosition,
     RequestLimits,
 )
+from plantainstand_placement._returning_callers import ReturningCallers
 from plantainstand_placement._run_times import (
     Familiarity,
     RunTimeEstimates,
@@ -41,6 +42,7 @@
     'RequestLimits',
     'RefusalReason',
     'RetryBudgetShare',
+    'ReturningCallers',
     'RetryBudgetLimits',
     'RunTimeEstimates',
     'RunTimes',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -164,6 +164,10 @@
     mean_run_time: timedelta
     """Mean over all requests of the service, which share the queues."""
 
+    returning_callers: int = 0
+    """Callers that this VM has rejected because of request limits and that are
+    yet to return."""
+
 
 def choose_target(
     criteria: PlacementCriteria,
@@ -173,7 +177,7 @@
     """Choose one of a service's targets, or reject the request."""
     candidates = _candidates(criteria, targets, estimates)
     if not candidates:
-        return _refuse_without_target(criteria, targets, estimates.now)
+        return _refuse_without_target(criteria, targets, estimates)
     options = [
         _option(state, rank, criteria, estimates)
         for rank, state in enumerate(candidates)
@@ -296,13 +300,16 @@
 
 
 def _refuse_without_target(
-    criteria: PlacementCriteria, targets: ServiceTargets, now: timedelta
+    criteria: PlacementCriteria,
+    targets: ServiceTargets,
+    estimates: ServiceEstimates,
 ) -> Refusal:
     """Reject a request that no target may receive now.
 
-    If only request limits are in the way, the client may return when the first
-    of them allows another request.
+    If only request limits are in the way, the client may return when the limits
+    allow its request and those of the callers that return before.
     """
+    now = estimates.now
     order = targets.order(
         criteria.object_key,
         criteria.region,
@@ -311,12 +318,14 @@
     allowed = [state for state in order if _is_allowed(state, criteria, now)]
     if not allowed:
         return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
-    waits = [criteria.request_limits.wait(state, now) for state in allowed]
-    soonest = min(
-        (wait for wait in waits if wait is not None),
-        default=NO_TARGET_RETRY_AFTER,
+    wait = criteria.request_limits.wait_of_next(
+        allowed, now, estimates.returning_callers
+    )
+    retry_after = NO_TARGET_RETRY_AFTER if wait is None else wait
+    return Refusal(
+        RefusalReason.LIMITED,
+        min(max(retry_after, RETRY_AFTER_MIN), RETRY_AFTER_MAX),
     )
-    return Refusal(RefusalReason.LIMITED, max(soonest, RETRY_AFTER_MIN))
 
 
 def _is_allowed(
--- a/libraries/placement/plantainstand_placement/_request_limits.py
+++ b/libraries/placement/plantainstand_placement/_request_limits.py
@@ -9,6 +9,7 @@
 Requests beyond the share go to later targets of their object's order.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -104,6 +105,29 @@
             _window_wait(state, burst, BURST_SPAN, known, now),
         )
 
+    def wait_of_next(
+        self, states: Sequence[TargetState], now: timedelta, ahead: int
+    ) -> timedelta | None:
+        """Return the time until a caller behind ``ahead`` others is allowed.
+
+        Counts the targets that have limits; None if this VM has no share of
+        any of these.
+        """
+        waits = [self.wait(state, now) for state in states]
+        soonest = min(
+            (each for each in waits if each is not None), default=None
+        )
+        if soonest is None:
+            return None
+        shares = sum(self._known_share(state, now) for state in states)
+        return soonest + LIMIT_WINDOW * (ahead / max(1, shares))
+
+    def _known_share(self, state: TargetState, now: timedelta) -> int:
+        known = self.known(state.entry, now)
+        if known is None or known.rate is None:
+            return 0
+        return self.share(state, known.rate)
+
 
 def _window_wait(
     state: TargetState,
--- a/tests/placement/test_request_limits.py
+++ b/tests/placement/test_request_limits.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from datetime import timedelta
 
 from hypothesis import given
@@ -15,6 +16,7 @@
     Refusal,
     RefusalReason,
     RequestLimits,
+    ReturningCallers,
     ServiceTargets,
     TargetState,
     choose_target,
@@ -23,6 +25,7 @@
 
 from tests.placement.builders import (
     NOW,
+    SERVICE,
     criteria,
     entry,
     estimates,
@@ -116,6 +119,35 @@
         expected = Refusal(RefusalReason.LIMITED, timedelta(seconds=0.5))
         self.assertEqual(refusal, expected)
 
+    def test_callers_return_one_after_the_other(self) -> None:
+        """Guards against callers that all return for one allowed request."""
+        states = idle_targets('t1', 't2')
+        targets = ServiceTargets(states)
+        stated = _stated([state.entry for state in states], 1, NOW)
+        limits = RequestLimits(_NORTE, _ALONE, stated)
+        for step in (0, 0.1, 0.2, 0.3):
+            _send(targets, NOW + timedelta(seconds=step), limits)
+        now = NOW + timedelta(seconds=0.4)
+        returning = ReturningCallers()
+        waits = []
+        for _ in range(4):
+            refusal = choose_target(
+                criteria(request_limits=limits),
+                targets,
+                replace(
+                    estimates(now),
+                    returning_callers=returning.count(SERVICE, now),
+                ),
+            )
+            assert isinstance(refusal, Refusal)
+            waits.append(refusal.retry_after.total_seconds())
+            returning.record(SERVICE, now + refusal.retry_after)
+        # The two targets allow two requests a second.
+        self.assertEqual(waits, [0.6, 1.1, 1.6, 2.1])
+        # Three of them return within 1.6 s, at 2 s after NOW.
+        later = NOW + timedelta(seconds=2)
+        self.assertEqual(returning.count(SERVICE, later), 1)
+
     def test_restarted_target(self) -> None:
         """A process that has just started has not stated a limit yet."""
         restarted = TargetState(entry('t1', started_ms=2), NOW)
