--- a/tests/platform_adapter/limited_fleet.py
+++ b/tests/platform_adapter/limited_fleet.py
@@ -38,7 +38,6 @@
 NOTICE_TIME = timedelta(milliseconds=500)
 """Time after which a VM that has been told of a limit is held to it."""
 
-_CONTROL = VmId('127.0.9.1')
 _LINK_PORT = 17580
 _CLIENT_PORT = 17581
 _CLOCK = SystemClock()
@@ -62,7 +61,21 @@
     """Time of each request and number of the VM that sent it."""
 
     told_at: dict[int, timedelta] = field(default_factory=dict)
-    """Time of the first answer to each VM that stated a limit."""
+    """Time of the first answer to each VM that stated a limit; a VM that
+    restarts has not been told."""
+
+    held_arrivals: list[timedelta] = field(default_factory=list)
+    """Times of the requests of VMs that had been told NOTICE_TIME before."""
+
+    named: list[tuple[timedelta, float | None]] = field(default_factory=list)
+    """Limits and the times from which they were stated."""
+
+    def name_limit(self, limit: float | None) -> None:
+        """State another limit from now on, or none."""
+        if limit is None:
+            self.told_at.clear()
+        self.limit = limit
+        self.named.append((_CLOCK.monotonic(), limit))
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free port until the stack is closed."""
@@ -89,6 +102,37 @@
             default=0,
         )
 
+    def excesses(self) -> Sequence[str]:
+        """Return the windows in which told VMs sent more than was allowed.
+
+        A window counts if the target stated limits from NOTICE_TIME before it
+        to its end; the largest of these is allowed.
+        """
+        found: list[str] = []
+        for begin in self.held_arrivals:
+            end = begin + RULE_WINDOW
+            rates = self._rates(begin - NOTICE_TIME, end)
+            if None in rates:
+                continue
+            allowed = allowed_requests(max(rate or 0 for rate in rates))
+            number = sum(begin <= at < end for at in self.held_arrivals)
+            if number > allowed:
+                found.append(f'{number} requests, {allowed} allowed')
+        return found
+
+    def _rates(
+        self, begin: timedelta, end: timedelta
+    ) -> Sequence[float | None]:
+        """Return what was stated between two times, None for no limit."""
+        known: float | None = None
+        later: list[float | None] = []
+        for at, rate in self.named:
+            if at <= begin:
+                known = rate
+            elif at <= end:
+                later.append(rate)
+        return [known, *later]
+
     def _is_held(self, vm: int, at: timedelta) -> bool:
         told_at = self.told_at.get(vm)
         return told_at is not None and at >= told_at + NOTICE_TIME
@@ -107,6 +151,8 @@
         now = _CLOCK.monotonic()
         vm = int(head.split(b' ', 2)[1].rpartition(b'/')[2])
         self.arrivals.append((now, vm))
+        if self._is_held(vm, now):
+            self.held_arrivals.append(now)
         request_id = _header(head, b'x-request-id')
         stated = b''
         if self.limit is not None:
@@ -121,26 +167,35 @@
 class LimitedFleet:
     """One control VM, entry VMs and targets in three regions."""
 
-    def __init__(self, vm_count: int, targets_per_region: int):
-        """Prepare the targets; :meth:`start` starts everything."""
+    def __init__(
+        self, vm_count: int, targets_per_region: int, network: int = 9
+    ):
+        """Prepare the targets; :meth:`start` starts everything.
+
+        All VMs have addresses in 127.0.``network``.
+        """
         self.targets = [
             LimitedTarget(region)
             for region in REGIONS
             for _number in range(targets_per_region)
         ]
         self.statuses: list[int] = []
+        self.unanswered = 0
+        self._network = network
         self._vm_count = vm_count
+        self._running: dict[int, asyncio.Task[None]] = {}
         self._next_id = itertools.count()
 
     async def start(self, stack: AsyncExitStack, folder: Path) -> None:
         """Start all processes as tasks; return when all VMs are ready."""
         for target in self.targets:
             await target.start(stack)
-        control = ControlNode(_control_settings(folder), self._list, _CLOCK)
-        nodes = [_entry_node(number) for number in range(self._vm_count)]
-        for run in (control.run, *(node.run for node in nodes)):
-            running = asyncio.create_task(run(asyncio.Event()))
-            stack.push_async_callback(_cancel, running)
+        settings = _control_settings(VmId(f'127.0.{self._network}.1'), folder)
+        control = ControlNode(settings, self._list, _CLOCK)
+        running = asyncio.create_task(control.run(asyncio.Event()))
+        stack.push_async_callback(_cancel, running)
+        stack.push_async_callback(self._stop_entry_vms)
+        nodes = [self._start_vm(number) for number in range(self._vm_count)]
         change = ChangeItems((service_item(), route_item('shop', 5)))
         async with asyncio.timeout(_START_DEADLINE_SECONDS):
             while (await control.operator.execute_command(change)).is_err():
@@ -150,6 +205,13 @@
             # Entry VMs know their number from the next roster on.
             await asyncio.sleep(1)
 
+    async def restart(self, number: int) -> None:
+        """End an entry VM at once and start it again."""
+        await _cancel(self._running[number])
+        for target in self.targets:
+            target.told_at.pop(number, None)
+        self._start_vm(number)
+
     async def send_requests(
         self, requests_per_second: float, duration: timedelta
     ) -> None:
@@ -165,8 +227,19 @@
         self, number: int, requests_per_second: float, duration: timedelta
     ) -> None:
         end = _CLOCK.monotonic() + duration
+        while _CLOCK.monotonic() < end:
+            try:
+                await self._use_connection(number, requests_per_second, end)
+            except (asyncio.IncompleteReadError, OSError):
+                # The VM restarts; the client connects again.
+                self.unanswered += 1
+                await asyncio.sleep(1 / requests_per_second)
+
+    async def _use_connection(
+        self, number: int, requests_per_second: float, end: timedelta
+    ) -> None:
         reader, writer = await asyncio.open_connection(
-            _entry_vm(number), _CLIENT_PORT
+            self._entry_vm(number), _CLIENT_PORT
         )
         while _CLOCK.monotonic() < end:
             request_id = f'{next(self._next_id):016x}'
@@ -181,6 +254,19 @@
             await asyncio.sleep(1 / requests_per_second)
         writer.close()
 
+    def _start_vm(self, number: int) -> EntryNode:
+        control = VmId(f'127.0.{self._network}.1')
+        node = _entry_node(self._entry_vm(number), number, control)
+        self._running[number] = asyncio.create_task(node.run(asyncio.Event()))
+        return node
+
+    def _entry_vm(self, number: int) -> VmId:
+        return VmId(f'127.0.{self._network}.{number + 10}')
+
+    async def _stop_entry_vms(self) -> None:
+        for running in self._running.values():
+            await _cancel(running)
+
     async def _list(self) -> Result[TargetList, ListProblem]:
         return Ok(TargetList(tuple(_entries(self.targets)), 1))
 
@@ -200,23 +286,22 @@
         )
 
 
-def _control_settings(folder: Path) -> ControlSettings:
+def _control_settings(vm: VmId, folder: Path) -> ControlSettings:
     return ControlSettings(
-        vm=_CONTROL,
+        vm=vm,
         availability_zone=AvailabilityZoneId('norte-a'),
         region=REGIONS[0],
         data_folder=folder,
         link_port=_LINK_PORT,
         metrics_port=_LINK_PORT + 2,
-        seeds=(_CONTROL,),
+        seeds=(vm,),
         bootstrap=True,
         tolerated_losses=0,
         list_calls_per_second=10,
     )
 
 
-def _entry_node(number: int) -> EntryNode:
-    vm = _entry_vm(number)
+def _entry_node(vm: VmId, number: int, control: VmId) -> EntryNode:
     region = REGIONS[number % len(REGIONS)]
     settings = replace(
         SETTINGS,
@@ -227,15 +312,11 @@
         ready_address=f'{vm}:{_CLIENT_PORT + 2}',
         metrics_port=_CLIENT_PORT + 3,
         link_port=_LINK_PORT,
-        seeds=(_CONTROL,),
+        seeds=(control,),
     )
     return EntryNode(settings, platform_header_codec(), _CLOCK)
 
 
-def _entry_vm(number: int) -> VmId:
-    return VmId(f'127.0.9.{number + 10}')
-
-
 def _header(head: bytes, name: bytes) -> bytes:
     lines: Sequence[bytes] = head.split(b'\r\n')
     for line in lines:
--- a/tests/platform_adapter/test_target_limits.py
+++ b/tests/platform_adapter/test_target_limits.py
@@ -37,7 +37,7 @@
         """Guards against a limit that each VM ignores or keeps for itself."""
         await self._send(1)
         for target, limit in zip(self.limited, _LIMITS, strict=True):
-            target.limit = limit
+            target.name_limit(limit)
         named_at = SystemClock().monotonic()
         await self._send(9)
         for target, limit in zip(self.limited, _LIMITS, strict=True):
