Soak and stand-ins of request limits move to the bench package

The fleet on loopback, its limited targets and the soak are a tool, like the other stand-ins, not test code: bench/plantainstand_bench (_limited_target, _limited_fleet, _limit_soak). The header names and the adapter's codec are passed in.

--- /dev/null
+++ b/bench/plantainstand_bench/_limit_soak.py
@@ -0,0 +1,77 @@
+"""Soak of request limits that come, change and end while VMs restart."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from plantainstand_bench._limited_fleet import LimitedFleet
+
+REQUESTS_PER_SECOND = 12
+"""Requests to each VM; clients keep their connections."""
+
+DURATION = timedelta(seconds=24)
+
+MEAN_CHANGE_INTERVAL = timedelta(milliseconds=800)
+"""Mean time between two events, so that several are in progress at once."""
+
+LIMIT_RANGE = (0.5, 8)
+"""Least and largest limit that a target states, in requests per second."""
+
+
+@dataclass(frozen=True)
+class SoakResult:
+    """What targets and callers have seen."""
+
+    excesses: Sequence[str]
+    """Windows in which a target got more than its limit allows."""
+
+    other_statuses: frozenset[int]
+    """Statuses other than 200, and 503, which says that nothing ran."""
+
+    refused_fraction: float
+    """Fraction of the answers with status 503."""
+
+
+async def play_limit_soak(
+    seed: int, build_fleet: Callable[[], LimitedFleet]
+) -> SoakResult:
+    """Play one seed with a fleet that has not been started."""
+    source = random.Random(seed)  # noqa: S311
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(TemporaryDirectory()))
+        fleet = build_fleet()
+        await fleet.start(stack, folder)
+        changing = asyncio.create_task(_change_forever(fleet, source))
+        stack.callback(changing.cancel)
+        await fleet.send_requests(REQUESTS_PER_SECOND, DURATION)
+    return SoakResult(
+        tuple(
+            excess for target in fleet.targets for excess in target.excesses()
+        ),
+        frozenset(fleet.statuses)
+        - {HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE},
+        fleet.statuses.count(HTTPStatus.SERVICE_UNAVAILABLE)
+        / len(fleet.statuses),
+    )
+
+
+async def _change_forever(fleet: LimitedFleet, source: random.Random) -> None:
+    """Restart VMs, and let every second target state or end a limit."""
+    limited = fleet.targets[::2]
+    while True:
+        target = source.choice(limited)
+        match source.choices(('restart', 'end', 'state'), (1, 1, 3))[0]:
+            case 'restart':
+                await fleet.restart(source.randrange(fleet.vm_count))
+            case 'end':
+                target.name_limit(None)
+            case _:
+                target.name_limit(round(source.uniform(*LIMIT_RANGE), 1))
+        pause = source.uniform(0, 2) * MEAN_CHANGE_INTERVAL
+        await asyncio.sleep(pause.total_seconds())
--- a/tests/platform_adapter/test_target_limits.py
+++ b/tests/platform_adapter/test_target_limits.py
@@ -6,9 +6,10 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from plantainstand_bench._limited_fleet import FleetShape, LimitedFleet
+from plantainstand_bench._limited_target import TargetHeaders, allowed_requests
 from plantainstand_core import SystemClock
-
-from tests.platform_adapter.limited_fleet import LimitedFleet, allowed_requests
+from plantainstand_platform.requests import platform_header_codec
 
 _VM_COUNT = 12
 _TARGETS_PER_REGION = 3
@@ -29,7 +30,11 @@
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         folder = Path(self.stack.enter_context(TemporaryDirectory()))
-        self.fleet = LimitedFleet(_VM_COUNT, _TARGETS_PER_REGION)
+        self.fleet = LimitedFleet(
+            FleetShape(_VM_COUNT, _TARGETS_PER_REGION),
+            platform_header_codec(),
+            TargetHeaders(b'x-request-id', b'server-limit'),
+        )
         await self.fleet.start(self.stack, folder)
         self.limited = self.fleet.targets[::_TARGETS_PER_REGION]
 
