Soak of request limits: the event loop's own stalls are measured

In their logs asyncio reports callbacks of 1 to 7 s that do next to nothing (_add_reader 7.3 s), all VMs being one process; a route's timeout is 1 s. So the 504s follow from a process that stood still; what held it up is not shown (suspected: the other processes of that time).

--- a/bench/plantainstand_bench/_limit_soak.py
+++ b/bench/plantainstand_bench/_limit_soak.py
@@ -11,6 +11,7 @@
 from tempfile import TemporaryDirectory
 
 from plantainstand_bench._limited_fleet import LimitedFleet
+from plantainstand_bench._limited_target import CLOCK
 
 REQUESTS_PER_SECOND = 12
 """Requests to each VM; clients keep their connections."""
@@ -24,6 +25,10 @@
 """Least and largest limit that a target states, in requests per second."""
 
 
+STALL_CHECK_INTERVAL = timedelta(milliseconds=50)
+"""Interval at which the event loop is checked for stalls."""
+
+
 @dataclass(frozen=True)
 class SoakResult:
     """What targets and callers have seen."""
@@ -37,6 +42,9 @@
     refused_fraction: float
     """Fraction of the answers with status 503."""
 
+    longest_stall: timedelta
+    """Longest time for which the event loop, and so every VM, stood still."""
+
 
 async def play_limit_soak(
     seed: int, build_fleet: Callable[[], LimitedFleet]
@@ -49,6 +57,9 @@
         await fleet.start(stack, folder)
         changing = asyncio.create_task(_change_forever(fleet, source))
         stack.callback(changing.cancel)
+        stalls = _StallMeter()
+        measuring = asyncio.create_task(stalls.measure_forever())
+        stack.callback(measuring.cancel)
         await fleet.send_requests(REQUESTS_PER_SECOND, DURATION)
     return SoakResult(
         tuple(
@@ -58,9 +69,24 @@
         - {HTTPStatus.OK, HTTPStatus.SERVICE_UNAVAILABLE},
         fleet.statuses.count(HTTPStatus.SERVICE_UNAVAILABLE)
         / len(fleet.statuses),
+        stalls.longest,
     )
 
 
+class _StallMeter:
+    """Longest delay of a short sleep."""
+
+    def __init__(self) -> None:
+        self.longest = timedelta()
+
+    async def measure_forever(self) -> None:
+        while True:
+            began_at = CLOCK.monotonic()
+            await asyncio.sleep(STALL_CHECK_INTERVAL.total_seconds())
+            late = CLOCK.monotonic() - began_at - STALL_CHECK_INTERVAL
+            self.longest = max(self.longest, late)
+
+
 async def _change_forever(fleet: LimitedFleet, source: random.Random) -> None:
     """Restart VMs, and let every second target state or end a limit."""
     limited = fleet.targets[::2]
