Request limits: one word for what targets state; reason of the stop's certain end

Names and comments only: stand-ins say state_limit and statements like the product, LimitExchange has a private _merge for both of its sources.

--- a/bench/plantainstand_bench/_limit_soak.py
+++ b/bench/plantainstand_bench/_limit_soak.py
@@ -96,8 +96,8 @@
             case 'restart':
                 await fleet.restart(source.randrange(fleet.vm_count))
             case 'end':
-                target.name_limit(None)
+                target.state_limit(None)
             case _:
-                target.name_limit(round(source.uniform(*LIMIT_RANGE), 1))
+                target.state_limit(round(source.uniform(*LIMIT_RANGE), 1))
         pause = source.uniform(0, 2) * MEAN_CHANGE_INTERVAL
         await asyncio.sleep(pause.total_seconds())
--- a/bench/plantainstand_bench/_limited_target.py
+++ b/bench/plantainstand_bench/_limited_target.py
@@ -58,15 +58,17 @@
     held_arrivals: list[timedelta] = field(default_factory=list)
     """Times of the requests of VMs that had been told NOTICE_TIME before."""
 
-    named: list[tuple[timedelta, float | None]] = field(default_factory=list)
+    statements: list[tuple[timedelta, float | None]] = field(
+        default_factory=list
+    )
     """Limits and the times from which they were stated."""
 
-    def name_limit(self, limit: float | None) -> None:
+    def state_limit(self, limit: float | None) -> None:
         """State another limit from now on, or none."""
         if limit is None:
             self.told_at.clear()
         self.limit = limit
-        self.named.append((CLOCK.monotonic(), limit))
+        self.statements.append((CLOCK.monotonic(), limit))
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free port until the stack is closed."""
@@ -117,7 +119,7 @@
         """Return what was stated between two times, None for no limit."""
         known: float | None = None
         later: list[float | None] = []
-        for at, rate in self.named:
+        for at, rate in self.statements:
             if at <= begin:
                 known = rate
             elif at <= end:
--- a/libraries/control/plantainstand_control/_limits.py
+++ b/libraries/control/plantainstand_control/_limits.py
@@ -36,12 +36,17 @@
     ) -> bool:
         """Record an entry VM's report; tell whether it changes a limit."""
         self._reported.merge(statements, self._clock.monotonic())
-        return self.record_from_peer(vm, statements)
+        return self._merge(vm, statements)
 
     def record_from_peer(
         self, vm: VmId, statements: Sequence[LimitStatement]
     ) -> bool:
         """Record what another control VM sent; tell if it changes a limit."""
+        return self._merge(vm, statements)
+
+    def _merge(
+        self, source: VmId, statements: Sequence[LimitStatement]
+    ) -> bool:
         changes = self._all.merge(statements, self._clock.monotonic())
         for changed in changes:
             _log.info(
@@ -49,6 +54,6 @@
                 target=changed.target,
                 rate=changed.rate,
                 age_s=round(changed.age_seconds, 2),
-                source=vm,
+                source=source,
             )
         return bool(changes)
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -49,7 +49,8 @@
 
 CERTAIN_END_AFTER = timedelta(milliseconds=2800)
 """Time after the order to stop from which only requests that are certain to end
-before the exit are accepted."""
+before the exit are accepted: a target that has turned slow could take longer
+than the time left, and by then few clients have not learned of the stop."""
 
 STOP_POLL_INTERVAL = timedelta(milliseconds=50)
 """Interval at which a stopping VM checks for unanswered requests."""
--- a/tests/platform_adapter/test_target_limits.py
+++ b/tests/platform_adapter/test_target_limits.py
@@ -1,4 +1,4 @@
-"""Guards the request limits that targets in need name for all VMs together."""
+"""Guards the request limits that targets in need state for all VMs."""
 
 import unittest
 from contextlib import AsyncExitStack
@@ -15,7 +15,7 @@
 _TARGETS_PER_REGION = 3
 _REQUESTS_PER_SECOND = 20
 _LIMITS = (3.0, 6.5, 1.2)
-"""Requests per second that one target of each region names; each gets about 27
+"""Requests per second that one target of each region states; each gets about 27
 without a limit."""
 
 _SHARING_TIME = timedelta(seconds=1)
@@ -23,7 +23,7 @@
 
 
 class TargetLimitTests(unittest.IsolatedAsyncioTestCase):
-    """Twelve VMs send to nine targets, three of which name limits."""
+    """Twelve VMs send to nine targets, three of which state limits."""
 
     async def asyncSetUp(self) -> None:
         """Start the fleet."""
@@ -42,16 +42,16 @@
         """Guards against a limit that each VM ignores or keeps for itself."""
         await self._send(1)
         for target, limit in zip(self.limited, _LIMITS, strict=True):
-            target.name_limit(limit)
-        named_at = SystemClock().monotonic()
+            target.state_limit(limit)
+        stated_at = SystemClock().monotonic()
         await self._send(9)
         for target, limit in zip(self.limited, _LIMITS, strict=True):
             with self.subTest(limit=limit):
                 allowed = allowed_requests(limit)
-                told = target.most_in_window(named_at, told_only=True)
+                told = target.most_in_window(stated_at, told_only=True)
                 self.assertLessEqual(told, allowed)
                 every_vm = target.most_in_window(
-                    named_at + _SHARING_TIME, told_only=False
+                    stated_at + _SHARING_TIME, told_only=False
                 )
                 self.assertLessEqual(every_vm, allowed)
                 # The target is in need, not gone.
