Entry VM: log what it takes for cold, its part of the limit and when it sent

The request line did not tell the hypotheses on FAILBACK apart: whether the VM took the target for cold, by which number of VMs it split the limit, and when the attempt was decided. Decisions are unchanged.

--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -54,6 +54,13 @@
     """Requests per second that the last target took from all entry VMs, if it
     had stated a limit."""
 
+    last_cold_limit: int | None = None
+    """Requests in a second that this VM allowed itself to the last target, if
+    it took the target for cold."""
+
+    last_sent_at: timedelta | None = None
+    """Monotonic time at which the last attempt was decided."""
+
     last_expected_wait: timedelta = timedelta()
     """Estimated wait in the last target's queue."""
 
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -10,6 +10,7 @@
 from plantainstand_telemetry import Metrics
 from result import Ok
 
+from plantainstand_edge._fleet_size import FleetSize
 from plantainstand_edge._journey import ActiveRequest
 from plantainstand_edge._service_times import ServiceTimes
 
@@ -23,6 +24,7 @@
         self,
         desired_view: DesiredView,
         target_table: TargetTable,
+        fleet_size: FleetSize,
         service_times: ServiceTimes,
         metrics: Metrics,
         clock: Clock,
@@ -30,6 +32,7 @@
         """Read versions and ages from the state that decisions are based on."""
         self._desired_view = desired_view
         self._target_table = target_table
+        self._fleet_size = fleet_size
         self._service_times = service_times
         self._metrics = metrics
         self._clock = clock
@@ -62,6 +65,10 @@
             target_rank=active.last_rank,
             familiarity=active.last_familiarity,
             target_limit=active.last_limit,
+            cold_limit=active.last_cold_limit,
+            entry_count=self._fleet_size.entry_count,
+            entry_position=self._fleet_size.position,
+            sent_ms=_sent_milliseconds(active),
             expected_wait_ms=_milliseconds(active.last_expected_wait),
             expected_run_ms=_milliseconds(active.last_expected_run),
             objective_ms=_milliseconds(
@@ -109,5 +116,12 @@
     return round(duration / timedelta(milliseconds=1))
 
 
+def _sent_milliseconds(active: ActiveRequest) -> int | None:
+    """Return the time from the request's arrival to its last attempt."""
+    if active.last_sent_at is None:
+        return None
+    return _milliseconds(active.last_sent_at - active.request.received_at)
+
+
 def _as_text(object_key: bytes | None) -> str | None:
     return None if object_key is None else object_key.decode('latin-1')
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -107,6 +107,7 @@
         self._request_log = RequestLog(
             inputs.desired_view,
             inputs.target_table,
+            inputs.fleet_size,
             self._service_times,
             inputs.metrics,
             clock,
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -113,6 +113,9 @@
     expected_run: timedelta
     """Estimated time between the queue and the response."""
 
+    cold_limit: int | None = None
+    """Requests in a second that this VM may send to the target, if cold."""
+
     @property
     def expected_duration(self) -> timedelta:
         """Estimated time to the response."""
@@ -227,6 +230,7 @@
         familiarity,
         _expected_wait(state, estimates.mean_run_time, estimates.now),
         estimates.run_times.expected(familiarity),
+        _cold_limit(state, criteria, estimates.now),
     )
 
 
@@ -336,13 +340,21 @@
         return False
     if criteria.home_regions and entry.region not in criteria.home_regions:
         return False
-    if state.is_cold(now):
-        limit = criteria.cold_share.limit(state.order_seed)
-        if state.sends.count(now - COLD_WINDOW) >= limit:
+    cold_limit = _cold_limit(state, criteria, now)
+    if cold_limit is not None:
+        if state.sends.count(now - COLD_WINDOW) >= cold_limit:
             return False
     return not state.is_backing_off(now)
 
 
+def _cold_limit(
+    state: TargetState, criteria: PlacementCriteria, now: timedelta
+) -> int | None:
+    if not state.is_cold(now):
+        return None
+    return criteria.cold_share.limit(state.order_seed)
+
+
 def _expected_wait(
     state: TargetState,
     mean_run_time: timedelta,
