Common limits: parts are leased, and the number of entry VMs falls slowly

Callers saw: cold targets that crash while several disruptions overlap. Cause: limits that hold for all entry VMs together (cold targets, stated request limits, the retry budget) were divided by the VMs that a control VM sees at the moment. A VM that is cut off, frozen or restarting drops out of that number at once and goes on sending, and the positions of the others move. Change: a VM's part depends on its rank in an order that is fixed for each pair of VM and target, so it only shrinks with each VM that it counts in addition. Control VMs count a VM for 10 s after its last report, and never drop one without the leader; entry VMs remember for 10 s whom they were named. A VM uses its part while it holds a lease of 4 s, renewed by control VMs that hear the leader; a new VM waits until it has been counted for 10 s; a process that stood still loses the lease. Ruled out: positions by count (two VMs that count different VMs hold the same part); an owner of permits (a hop, and it can be lost). The deadline of a hypothesis test is lifted: ranking 400 VMs by each of them is its own cost, the checks are as before.

--- a/libraries/consensus/plantainstand_consensus/_interfaces.py
+++ b/libraries/consensus/plantainstand_consensus/_interfaces.py
@@ -100,6 +100,10 @@
     """Whether this is the leader and a majority answered messages that were
     sent within the last second, measured at the time of the call."""
 
+    has_leader_contact: bool
+    """Whether this is a leader with ``has_quorum_contact``, or a leader's
+    message arrived within the last second."""
+
     formed: bool
     """Whether all founding members have been voters. Proposals and reads are
     refused until then."""
--- a/libraries/consensus/plantainstand_consensus/_state.py
+++ b/libraries/consensus/plantainstand_consensus/_state.py
@@ -56,7 +56,7 @@
 
     role: Role = Role.FOLLOWER
     leader: VmId | None = None
-    last_leader_contact: timedelta | None = None
+    leader_contact: timedelta | None = None
     """Arrival time of the leader's last message."""
 
     election_deadline: timedelta = field(init=False)
--- a/libraries/consensus/plantainstand_consensus/_status.py
+++ b/libraries/consensus/plantainstand_consensus/_status.py
@@ -7,7 +7,7 @@
 
 from plantainstand_consensus._core import ReplicaCore
 from plantainstand_consensus._interfaces import ReplicaStatus
-from plantainstand_consensus._state import Role
+from plantainstand_consensus._state import QUORUM_CONTACT_TIMEOUT, Role
 
 
 def describe_status(
@@ -32,8 +32,18 @@
         commit_index=LogIndex(state.commit_index),
         applied_index=LogIndex(state.delivered_index),
         has_quorum_contact=running and has_contact,
+        has_leader_contact=running
+        and (has_contact or _hears_leader(core, now)),
         formed=configuration.formed,
         members=configuration.members,
         voters=configuration.voters,
         problem=problem,
     )
+
+
+def _hears_leader(core: ReplicaCore, now: timedelta) -> bool:
+    state = core.state
+    contact = state.leader_contact
+    if core.leadership is not None or state.leader is None or contact is None:
+        return False
+    return now - contact < QUORUM_CONTACT_TIMEOUT
--- a/libraries/control/plantainstand_control/_entries.py
+++ b/libraries/control/plantainstand_control/_entries.py
@@ -40,6 +40,10 @@
         """
         return self._merged().values()
 
+    def regions(self) -> Mapping[VmId, RegionId]:
+        """Return the region of each entry VM."""
+        return {vm: entry.region for vm, entry in self._merged().items()}
+
     def positions(self) -> Mapping[VmId, int]:
         """Return the position of each entry VM in the order of their ids."""
         return {vm: number for number, vm in enumerate(sorted(self._merged()))}
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -26,7 +26,7 @@
     ControlPlaneState,
 )
 from plantainstand_edge._dialect import HeaderCodec
-from plantainstand_edge._fleet_size import FleetSize
+from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._settings import EntrySettings
 from plantainstand_edge._steering import RequestSteering, SteeringInputs
 from plantainstand_edge._target_limits import TargetLimits
@@ -97,7 +97,12 @@
         self._clock = clock
         self._desired_view = DesiredView()
         self._target_table = TargetTable()
-        self._fleet_size = FleetSize()
+        self._fleet_view = FleetView(
+            settings.vm,
+            clock,
+            lambda control: self._links.heard_at(control),
+            self._reopen_links,
+        )
         self._pool = TargetConnectionPool(clock)
         self._metrics = Metrics(METRIC_HELP)
         self._target_limits = TargetLimits(self._metrics, clock, self._report)
@@ -107,7 +112,7 @@
             self._target_table,
             self._pool,
             RetryBudgetShare(settings.retry_budget_limits),
-            self._fleet_size,
+            self._fleet_view,
             self._target_limits,
             self._metrics,
         )
@@ -123,7 +128,7 @@
             ControlPlaneState(
                 self._desired_view,
                 self._target_table,
-                self._fleet_size,
+                self._fleet_view,
                 self._target_limits,
             ),
             clock,
@@ -176,10 +181,15 @@
 
     async def _report_forever(self) -> None:
         while True:
+            self._fleet_view.check()
             self._report()
             self._pool.close_expired()
             await asyncio.sleep(REPORT_INTERVAL.total_seconds())
 
+    def _reopen_links(self) -> None:
+        _log.warning('process stood still; links are opened again')
+        self._links.reconnect()
+
     def _report(self) -> None:
         ready = self.is_ready
         if ready != self._reported_ready:
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -10,7 +10,7 @@
 from plantainstand_telemetry import Metrics
 from result import Ok
 
-from plantainstand_edge._fleet_size import FleetSize
+from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._journey import ActiveRequest
 from plantainstand_edge._service_times import ServiceTimes
 
@@ -24,7 +24,7 @@
         self,
         desired_view: DesiredView,
         target_table: TargetTable,
-        fleet_size: FleetSize,
+        fleet_view: FleetView,
         service_times: ServiceTimes,
         metrics: Metrics,
         clock: Clock,
@@ -32,7 +32,7 @@
         """Read versions and ages from the state that decisions are based on."""
         self._desired_view = desired_view
         self._target_table = target_table
-        self._fleet_size = fleet_size
+        self._fleet_view = fleet_view
         self._service_times = service_times
         self._metrics = metrics
         self._clock = clock
@@ -66,8 +66,8 @@
             familiarity=active.last_familiarity,
             target_limit=active.last_limit,
             cold_limit=active.last_cold_limit,
-            entry_count=self._fleet_size.entry_count,
-            entry_position=self._fleet_size.position,
+            entry_count=self._fleet_view.entry_count,
+            leased=self._fleet_view.is_leased,
             sent_ms=_sent_milliseconds(active),
             expected_wait_ms=_milliseconds(active.last_expected_wait),
             expected_run_ms=_milliseconds(active.last_expected_run),
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -17,6 +17,7 @@
     decode_fleet_message,
     encode_fleet_message,
 )
+from plantainstand_fleet._sharing import SharingRegion, VmSeed, vm_seed
 from plantainstand_fleet._stated_limits import (
     KnownLimit,
     StatedLimits,
@@ -34,12 +35,15 @@
     'LimitStatement',
     'ReplicaMessage',
     'Roster',
+    'SharingRegion',
     'StatedLimits',
     'StatementKey',
     'TargetEntry',
     'TargetListing',
     'TargetUpdate',
     'VmRole',
+    'VmSeed',
     'decode_fleet_message',
     'encode_fleet_message',
+    'vm_seed',
 )
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -13,6 +13,8 @@
 from plantainstand_desired import EvacuationItem, Item
 from result import Err, Ok, Result
 
+from plantainstand_fleet._sharing import SharingRegion
+
 
 class VmRole(Enum):
     """Role of a VM's process."""
@@ -146,6 +148,17 @@
     """For an entry VM all limits that are known; for a control VM those that
     entry VMs have reported to the sender itself."""
 
+    sharing: tuple[SharingRegion, ...] | None = None
+    """Entry VMs that share limits, for an entry VM; None if they are those of
+    the last roster on the link."""
+
+    is_authoritative: bool = False
+    """Whether the sender is in contact with the leader of the log."""
+
+    receiver_is_settled: bool = False
+    """Whether the sender has counted the receiver for so long that each VM
+    which may use its part of a limit counts it too."""
+
 
 class ReplicaMessage(_Message, frozen=True):
     """A message between replicas of the log."""
--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -71,6 +71,11 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    @property
+    def heard_at(self) -> timedelta:
+        """Monotonic time at which the last bytes arrived."""
+        return self._last_received_at
+
     @property
     def peer_address(self) -> str:
         """IP address of the peer, or an empty string."""
--- a/libraries/links/plantainstand_links/_outgoing.py
+++ b/libraries/links/plantainstand_links/_outgoing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from datetime import timedelta
 
 import structlog
 from plantainstand_core import Clock
@@ -34,6 +35,17 @@
         """Whether frames can be sent."""
         return self._link is not None and self._link.is_open
 
+    @property
+    def heard_at(self) -> timedelta | None:
+        """Monotonic time of the last bytes; None while closed."""
+        link = self._link
+        return link.heard_at if link is not None and link.is_open else None
+
+    def abort(self) -> None:
+        """Close the connection at once; :meth:`run` connects again."""
+        if self._link is not None:
+            self._link.abort()
+
     def send(self, frame: bytes) -> None:
         """Send a frame; drop it while there is no connection."""
         if self._link is not None:
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -15,10 +15,8 @@
     LongestDurations,
     ends_before_exit,
 )
-from plantainstand_placement._request_limits import (
-    FleetPosition,
-    RequestLimits,
-)
+from plantainstand_placement._fleet_share import FleetShare
+from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
 from plantainstand_placement._run_times import (
     Familiarity,
@@ -34,7 +32,7 @@
     'ColdRequestShare',
     'ColdTargetLimits',
     'Familiarity',
-    'FleetPosition',
+    'FleetShare',
     'PlacementCriteria',
     'LoadReport',
     'LongestDurations',
--- a/tests/edge/simulated_fleet.py
+++ b/tests/edge/simulated_fleet.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, cast
 from unittest.mock import patch
 
@@ -104,10 +105,16 @@
         self.events: LinkCallbacks | None = None
         self.broken_since: timedelta | None = None
         self.retry_at = timedelta()
+        self.near_heard_at = timedelta()
         self.queues: tuple[deque[Any], deque[Any]] = (deque(), deque())
         self.pending_close: set[VmId] = set()
         self.accepted = AcceptedEnd(self)
 
+    @property
+    def heard_at(self) -> timedelta | None:
+        """See ``OutgoingLink.heard_at``."""
+        return self.near_heard_at if self.is_open else None
+
     def send(self, frame: bytes) -> None:
         """Send a frame from the end that opened the link."""
         self.push(0, frame)
@@ -310,6 +317,7 @@
             if self.runs(vm) and now >= self._next_report.get(vm, now):
                 self._next_report[vm] = now + REPORT_INTERVAL
                 if vm in self.entry_ids:
+                    self.entries[vm]._fleet_view.check()
                     self.entries[vm]._report()
                 else:
                     self.controls[vm]._send_rosters()
@@ -411,6 +419,7 @@
             link.retry_at = self.now + RECONNECT_TIME
             link.close()
         elif whole:
+            link.near_heard_at = self.now
             self._deliver(link)
 
     def _open(self, link: SimulatedLink, *, possible: bool) -> None:
@@ -473,6 +482,11 @@
         """See ``ReplicaRunner.leader``."""
         return self._fleet.leader_of(self._vm)
 
+    @property
+    def status(self) -> SimpleNamespace:
+        """See ``ReplicaRunner.status``."""
+        return SimpleNamespace(has_leader_contact=self.leader is not None)
+
 
 def _ignore(*_arguments: object) -> None:
     """Stand in for code that opens connections."""
