Common limits: a new VM uses its part once all others say that they count it

Change: entry VMs report a digest of the VMs that they count; when all VMs that a control VM counts report its own, and it can rule out leases that it does not know of (first start of the system, or 10 s after its own start), all are settled 1.5 s later. Without agreement a new VM still waits for 10 s.

--- a/libraries/control/plantainstand_control/_entries.py
+++ b/libraries/control/plantainstand_control/_entries.py
@@ -1,6 +1,6 @@
 """Entry VMs known from reports to this or another control VM."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import structlog
 from plantainstand_core import RegionId, VmId
@@ -44,6 +44,14 @@
         """Return the region of each entry VM."""
         return {vm: entry.region for vm, entry in self._merged().items()}
 
+    def counted_digests(self) -> Mapping[VmId, int]:
+        """Return the digest of the VMs that each entry VM counts."""
+        return {
+            vm: report.counted_digest
+            for reports in self._all_reports()
+            for vm, report in reports.items()
+        }
+
     def positions(self) -> Mapping[VmId, int]:
         """Return the position of each entry VM in the order of their ids."""
         return {vm: number for number, vm in enumerate(sorted(self._merged()))}
@@ -72,7 +80,8 @@
         """Record the report of an entry VM, and broadcast it if changed."""
         if self._local_reports.get(link) == (vm, report):
             return
-        _log.info('entry VM report changed', entry=vm, ready=report.ready)
+        if not self._is_known(link, vm, ready=report.ready):
+            _log.info('entry VM report changed', entry=vm, ready=report.ready)
         self._local_reports[link] = (vm, report)
         self._merged_entry_vms = None
         changes = EntryChanges(full=False, updated=((vm, report),), removed=())
@@ -106,12 +115,20 @@
             self._merged_entry_vms = self._merge()
         return self._merged_entry_vms
 
+    def _is_known(self, link: Link, vm: VmId, *, ready: bool) -> bool:
+        known = self._local_reports.get(link)
+        return known is not None and (known[0], known[1].ready) == (vm, ready)
+
+    def _all_reports(self) -> Sequence[Mapping[VmId, EntryReport]]:
+        """Return the remote reports and then the local ones, as the newest."""
+        return (
+            *self._remote_reports.values(),
+            dict(self._local_reports.values()),
+        )
+
     def _merge(self) -> Mapping[VmId, EntryVm]:
         merged: dict[VmId, EntryReport] = {}
-        for reports in (
-            dict(self._local_reports.values()),
-            *self._remote_reports.values(),
-        ):
+        for reports in self._all_reports():
             for vm, report in reports.items():
                 if vm not in merged or not report.ready:
                     merged[vm] = report
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -123,6 +123,7 @@
                 self._entries,
                 self._limits,
                 lambda: _has_leader_contact(self._replicas.status),
+                settings.bootstrap,
             ),
             clock,
         )
--- a/libraries/control/plantainstand_control/_rosters.py
+++ b/libraries/control/plantainstand_control/_rosters.py
@@ -26,6 +26,8 @@
     entries: EntryRegistry
     limits: LimitExchange
     has_leader_contact: Callable[[], bool]
+    is_first_start: bool
+    """Whether the whole system starts for the first time."""
 
 
 @dataclass(frozen=True)
@@ -45,7 +47,9 @@
         """Start without entry VMs that share limits."""
         self._inputs = inputs
         self._clock = clock
-        self._sharing = SharingRegistry()
+        self._sharing = SharingRegistry(
+            clock.monotonic(), is_first_start=inputs.is_first_start
+        )
         self._sent: dict[Link, _SentRoster] = {}
 
     def send(self, entry_links: Mapping[Link, VmId]) -> None:
@@ -55,6 +59,7 @@
         is_authoritative = inputs.has_leader_contact()
         self._sharing.update(
             inputs.entries.regions(),
+            inputs.entries.counted_digests(),
             self._clock.monotonic(),
             may_shrink=is_authoritative,
         )
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -118,6 +118,7 @@
                 settings.region,
                 self._ready,
                 limits,
+                self._state.fleet_view.counted_digest,
             ),
         )
 
--- a/libraries/edge/plantainstand_edge/_fleet_view.py
+++ b/libraries/edge/plantainstand_edge/_fleet_view.py
@@ -12,7 +12,13 @@
 
 import structlog
 from plantainstand_core import Clock, RegionId, VmId
-from plantainstand_fleet import Roster, SharingRegion, VmSeed, vm_seed
+from plantainstand_fleet import (
+    Roster,
+    SharingRegion,
+    VmSeed,
+    sharing_digest,
+    vm_seed,
+)
 from plantainstand_placement import FleetShare
 
 _log = structlog.get_logger()
@@ -92,6 +98,13 @@
         """This VM's part of limits that hold for all entry VMs together."""
         return self._usable if self.is_leased else self._unusable
 
+    @property
+    def counted_digest(self) -> int:
+        """Digest of the VMs that this VM counts."""
+        return sharing_digest(
+            frozenset[VmSeed]().union(*self._usable.regions.values())
+        )
+
     @property
     def is_leased(self) -> bool:
         """Whether this VM may use its part."""
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -17,7 +17,12 @@
     decode_fleet_message,
     encode_fleet_message,
 )
-from plantainstand_fleet._sharing import SharingRegion, VmSeed, vm_seed
+from plantainstand_fleet._sharing import (
+    SharingRegion,
+    VmSeed,
+    sharing_digest,
+    vm_seed,
+)
 from plantainstand_fleet._stated_limits import (
     KnownLimit,
     StatedLimits,
@@ -45,5 +50,6 @@
     'VmSeed',
     'decode_fleet_message',
     'encode_fleet_message',
+    'sharing_digest',
     'vm_seed',
 )
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -69,6 +69,9 @@
     limits: tuple[LimitStatement, ...] = ()
     """Limits in the answers that the VM received since its last report."""
 
+    counted_digest: int = 0
+    """Digest of the VMs that the VM counts as sharing limits; 0 for none."""
+
 
 class TargetEntry(msgspec.Struct, frozen=True, array_like=True):
     """A target on the platform's list."""
--- a/libraries/fleet/plantainstand_fleet/_sharing.py
+++ b/libraries/fleet/plantainstand_fleet/_sharing.py
@@ -1,5 +1,8 @@
 """Entry VMs that share limits which hold for all of them together."""
 
+from collections.abc import Iterable
+from functools import reduce
+from operator import xor
 from typing import NewType
 
 import msgspec
@@ -17,6 +20,11 @@
     seeds: tuple[VmSeed, ...]
 
 
+def sharing_digest(seeds: Iterable[VmSeed]) -> int:
+    """Return a number that is equal for equal sets of VMs."""
+    return reduce(xor, seeds, 0)
+
+
 def vm_seed(vm: VmId) -> VmSeed:
     """Return the hash of a VM's id; equal on all VMs."""
     return VmSeed(xxhash.xxh64_intdigest(vm.encode()))
