Cold targets: a VM that would not know keeps to its part and asks the target

Callers saw: cold targets flooded by VMs that were cut off. Cause: a VM without the control VMs, or with a silent list, takes all targets for warm that were warm when it last heard; it hears of neither cold times nor evacuations. A target that starts again under its id looks as before until the list shows the new start. Requests that find no target wait for one such answer, 0.3 s at most. Sends are kept over a new start under the same id.

--- a/bench/plantainstand_bench/_limited_fleet.py
+++ b/bench/plantainstand_bench/_limited_fleet.py
@@ -234,6 +234,7 @@
         seeds=(control,),
         cold_target_limits=ColdTargetLimits(1.5, 5),
         retry_budget_limits=RetryBudgetLimits(0.2, 58, timedelta(seconds=10)),
+        list_lag=timedelta(),
         stop_grace_period=timedelta(seconds=6),
     )
 
--- a/bench/plantainstand_bench/_recovery_benchmark.py
+++ b/bench/plantainstand_bench/_recovery_benchmark.py
@@ -36,6 +36,7 @@
     EntryNode,
     EntrySettings,
     HeaderCodec,
+    HealthMetadata,
     ResponseMetadata,
 )
 from plantainstand_fleet import TargetEntry
@@ -278,6 +279,7 @@
         seeds=_CONTROLS[:3],
         cold_target_limits=ColdTargetLimits(1, 1),
         retry_budget_limits=RetryBudgetLimits(0, 0, timedelta(seconds=1)),
+        list_lag=timedelta(),
         stop_grace_period=timedelta(seconds=1),
     )
 
@@ -290,6 +292,7 @@
         misdirected=False,
         load=None,
     ),
+    read_health_metadata=lambda _answer: HealthMetadata(None, timedelta()),
     request_id_header=b'id',
     local_response_headers=lambda _request_id, _pause: (),
 )
--- a/libraries/edge/plantainstand_edge/__init__.py
+++ b/libraries/edge/plantainstand_edge/__init__.py
@@ -2,6 +2,7 @@
 
 from plantainstand_edge._dialect import (
     HeaderCodec,
+    HealthMetadata,
     RequestMetadata,
     ResponseMetadata,
 )
@@ -11,6 +12,7 @@
 
 __all__ = (
     'HeaderCodec',
+    'HealthMetadata',
     'EntryNode',
     'EntrySettings',
     'RequestMetadata',
--- a/libraries/edge/plantainstand_edge/_dialect.py
+++ b/libraries/edge/plantainstand_edge/_dialect.py
@@ -55,6 +55,17 @@
     if it states a limit."""
 
 
+@dataclass(frozen=True, slots=True)
+class HealthMetadata:
+    """What the answer to a probe states about the target."""
+
+    target: TargetId | None
+    """Target that answered, if stated."""
+
+    cold_left: timedelta
+    """Time for which the target remains cold; 0 if it is warm."""
+
+
 @dataclass(frozen=True)
 class HeaderCodec:
     """Functions of an adapter that read and write header fields."""
@@ -66,6 +77,7 @@
     """Headers to add for a target, which state its id and the time left."""
 
     read_response_metadata: Callable[[TargetResponse], ResponseMetadata]
+    read_health_metadata: Callable[[TargetResponse], HealthMetadata]
     request_id_header: bytes
     """Name, in lower case, of the header whose value a response echoes."""
 
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -27,6 +27,7 @@
 )
 from plantainstand_edge._dialect import HeaderCodec
 from plantainstand_edge._fleet_view import FleetView
+from plantainstand_edge._probes import TargetProbes
 from plantainstand_edge._settings import EntrySettings
 from plantainstand_edge._steering import RequestSteering, SteeringInputs
 from plantainstand_edge._target_limits import TargetLimits
@@ -105,6 +106,9 @@
         )
         self._pool = TargetConnectionPool(clock)
         self._metrics = Metrics(METRIC_HELP)
+        self._probes = TargetProbes(
+            self._pool, header_codec, self._desired_view, clock
+        )
         self._target_limits = TargetLimits(self._metrics, clock, self._report)
         self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
         inputs = SteeringInputs(
@@ -114,6 +118,7 @@
             RetryBudgetShare(settings.retry_budget_limits),
             self._fleet_view,
             self._target_limits,
+            self._probes,
             self._metrics,
         )
         self._steering = RequestSteering(settings, inputs, header_codec, clock)
@@ -154,6 +159,7 @@
         """Serve until ``stop`` is set, then stop gracefully."""
         async with AsyncExitStack() as stack:
             stack.callback(self._pool.close)
+            stack.callback(self._probes.close)
             stack.callback(self._links.close)
             await self._listen(stack)
             self._links.replace_seeds(self._settings.seeds)
--- a/libraries/edge/plantainstand_edge/_settings.py
+++ b/libraries/edge/plantainstand_edge/_settings.py
@@ -31,5 +31,8 @@
 
     cold_target_limits: ColdTargetLimits
     retry_budget_limits: RetryBudgetLimits
+    list_lag: timedelta
+    """Age of what the platform's list says when it is read."""
+
     stop_grace_period: timedelta
     """Time between the order to stop and the forced end of the process."""
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -30,6 +30,7 @@
     TrafficSplitter,
     choose_target,
     ends_before_exit,
+    targets_to_probe,
 )
 from plantainstand_telemetry import Metrics
 
@@ -37,6 +38,7 @@
 from plantainstand_edge._dialect import HeaderCodec, RequestMetadata
 from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._journey import ActiveRequest
+from plantainstand_edge._probes import PROBE_TIMEOUT, TargetProbes
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
 from plantainstand_edge._settings import EntrySettings
@@ -78,6 +80,7 @@
     retry_budget: RetryBudgetShare
     fleet_view: FleetView
     target_limits: TargetLimits
+    probes: TargetProbes
     metrics: Metrics
 
 
@@ -205,7 +208,7 @@
             if not self._ends_before_exit(active):
                 refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
                 return self._respond_without_success(active, refusal)
-            choice = self._choose(active)
+            choice = await self._choose_known(active)
             if isinstance(choice, Refusal):
                 return self._respond_without_success(active, choice)
             if active.deadline - self._clock.monotonic() < MIN_ATTEMPT_TIME:
@@ -228,6 +231,20 @@
             certain=is_noticed or not active.match.route.idempotent,
         )
 
+    async def _choose_known(self, active: ActiveRequest) -> Choice | Refusal:
+        """Choose a target, if necessary after one has said that it is warm."""
+        choice = self._choose(active)
+        if not isinstance(choice, Refusal):
+            return choice
+        time_left = active.deadline - self._clock.monotonic()
+        if choice.reason is not RefusalReason.NO_TARGET or (
+            time_left < PROBE_TIMEOUT + MIN_ATTEMPT_TIME
+        ):
+            return choice
+        if await self._inputs.probes.wait(PROBE_TIMEOUT):
+            return self._choose(active)
+        return choice
+
     def _choose(self, active: ActiveRequest) -> Choice | Refusal:
         now = self._clock.monotonic()
         inputs = self._inputs
@@ -243,6 +260,7 @@
                 inputs.fleet_view.share,
                 inputs.target_limits.stated,
             ),
+            list_reading=inputs.target_table.reading(self._settings.list_lag),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
             ),
@@ -255,6 +273,9 @@
             self._returning_callers.count(active.service, now),
         )
         targets = inputs.target_table.targets_of(active.service)
+        unknown = targets_to_probe(criteria, targets, now)
+        if unknown:
+            inputs.probes.start(active.service, unknown)
         return choose_target(criteria, targets, estimates)
 
     def _cold_share(self, active: ActiveRequest) -> ColdRequestShare:
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -4,17 +4,19 @@
 from plantainstand_placement._budget import RetryBudgetLimits, RetryBudgetShare
 from plantainstand_placement._choice import (
     Choice,
-    PlacementCriteria,
     Refusal,
     RefusalReason,
     ServiceEstimates,
     choose_target,
 )
 from plantainstand_placement._cold import ColdRequestShare, ColdTargetLimits
+from plantainstand_placement._cold_knowledge import ListReading
+from plantainstand_placement._criteria import PlacementCriteria
 from plantainstand_placement._departure import (
     LongestDurations,
     ends_before_exit,
 )
+from plantainstand_placement._eligibility import targets_to_probe
 from plantainstand_placement._fleet_share import FleetShare
 from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
@@ -34,6 +36,7 @@
     'Familiarity',
     'FleetShare',
     'PlacementCriteria',
+    'ListReading',
     'LoadReport',
     'LongestDurations',
     'Refusal',
@@ -51,4 +54,5 @@
     'TrafficSplitter',
     'choose_target',
     'ends_before_exit',
+    'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -6,9 +6,12 @@
 from plantainstand_core import ServiceId, TargetId, VmId
 from plantainstand_fleet import TargetEntry, TargetListing, TargetUpdate
 
+from plantainstand_placement._cold_knowledge import ListReading
+from plantainstand_placement._recent_sends import LONGEST_SPAN, RecentSends
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
 
+_NEVER = timedelta.min
 _NO_TARGETS = ServiceTargets(())
 
 NEW_TARGET_COLD_TIME = timedelta(seconds=4)
@@ -29,6 +32,7 @@
         """Create a table without targets."""
         self._lists: dict[VmId, TargetListing] = {}
         self._states: dict[TargetId, TargetState] = {}
+        self._sends: dict[TargetId, RecentSends] = {}
         self._by_service: dict[ServiceId, ServiceTargets] = {}
         self._first_list_at: timedelta | None = None
         self._built_digest: int | None = None
@@ -47,6 +51,12 @@
         """Return the targets of a service that are not draining."""
         return self._by_service.get(service, _NO_TARGETS)
 
+    def reading(self, lag: timedelta) -> ListReading:
+        """Return the newest reading of a list that lags by ``lag``."""
+        newest = self._newest()
+        seen_at = _NEVER if newest is None else newest.seen_at
+        return ListReading(max(seen_at, _NEVER + lag), lag)
+
     def age(self, now: timedelta) -> timedelta:
         """Return the age of the newest list; ``timedelta.max`` without one."""
         newest = self._newest()
@@ -112,6 +122,11 @@
             for target, entry in newest.entries.items()
         }
         self._states = states
+        self._sends = {
+            target: sends
+            for target, sends in self._sends.items()
+            if target in states or sends.count(now - LONGEST_SPAN)
+        }
         by_service: dict[ServiceId, list[TargetState]] = {}
         for state in states.values():
             if not self._is_draining(state.entry):
@@ -141,6 +156,8 @@
         state = self._states.get(entry.target)
         if state is None or _is_restarted(state.entry, entry):
             state = TargetState(entry, now)
+            # What the target got before its new start was listed counts.
+            state.sends = self._sends.setdefault(entry.target, state.sends)
             # Targets of the first list were running before this VM: warm.
             if self._first_list_at is not None and self._first_list_at < now:
                 state.cold_until = now + NEW_TARGET_COLD_TIME
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -19,23 +19,21 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
-from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
-
-from plantainstand_placement._cold import COLD_WINDOW, ColdRequestShare
-from plantainstand_placement._request_limits import RequestLimits
+from plantainstand_placement._criteria import PlacementCriteria
+from plantainstand_placement._eligibility import (
+    MAX_CANDIDATES,
+    cold_limit,
+    is_allowed,
+    may_receive,
+)
 from plantainstand_placement._run_times import Familiarity, RunTimeEstimates
 from plantainstand_placement._service_targets import ServiceTargets
 from plantainstand_placement._target import TargetState
 
-MAX_CANDIDATES = 4
-"""Targets of an object's order that are considered. Each further target would
-first have to become warm for the object, which costs as much as several warm
-requests."""
-
 MAX_WARM_WAIT_FRACTION = 1.0
 """Expected wait, as a fraction of the mean run time, up to which a request goes
 to a target that is warm for its object rather than to another one."""
@@ -122,38 +120,6 @@
         return self.expected_wait + self.expected_run
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementCriteria:
-    """Criteria by which the target of one request is chosen."""
-
-    object_key: bytes
-    """Identifies the object; equal for all requests for it."""
-
-    region: RegionId
-    """Region of the entry VM."""
-
-    home_regions: tuple[RegionId, ...]
-    """Regions whose targets may serve the request; empty for all."""
-
-    objective_left: timedelta
-    """Time until the route's latency objective is missed."""
-
-    time_left: timedelta
-    """Time until the request is given up."""
-
-    cold_share: ColdRequestShare
-    """Requests that this VM may send to cold targets."""
-
-    request_limits: RequestLimits
-    """Requests that this VM may send to targets that state limits."""
-
-    evacuated_availability_zones: frozenset[AvailabilityZoneId] = frozenset()
-    """Availability zones whose targets receive no requests."""
-
-    tried_targets: frozenset[TargetId] = field(default_factory=frozenset)
-    """Targets to which the request has been sent already."""
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceEstimates:
     """Times that one VM has observed, as of now."""
@@ -230,7 +196,7 @@
         familiarity,
         _expected_wait(state, estimates.mean_run_time, estimates.now),
         estimates.run_times.expected(familiarity),
-        _cold_limit(state, criteria, estimates.now),
+        cold_limit(state, criteria, estimates.now),
     )
 
 
@@ -275,7 +241,7 @@
         criteria.evacuated_availability_zones,
     )
     for state in order:
-        if not _may_receive(state, criteria, now):
+        if not may_receive(state, criteria, now):
             continue
         if _is_failing(state, failure_limit, estimates):
             failing.append(state)
@@ -286,14 +252,6 @@
     return (healthy + failing)[:MAX_CANDIDATES]
 
 
-def _may_receive(
-    state: TargetState, criteria: PlacementCriteria, now: timedelta
-) -> bool:
-    if not _is_allowed(state, criteria, now):
-        return False
-    return criteria.request_limits.wait(state, now) == timedelta()
-
-
 def _is_failing(
     state: TargetState, failure_limit: float, estimates: ServiceEstimates
 ) -> bool:
@@ -319,7 +277,7 @@
         criteria.region,
         criteria.evacuated_availability_zones,
     )
-    allowed = [state for state in order if _is_allowed(state, criteria, now)]
+    allowed = [state for state in order if is_allowed(state, criteria, now)]
     if not allowed:
         return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
     wait = criteria.request_limits.wait_of_next(
@@ -332,29 +290,6 @@
     )
 
 
-def _is_allowed(
-    state: TargetState, criteria: PlacementCriteria, now: timedelta
-) -> bool:
-    entry = state.entry
-    if entry.target in criteria.tried_targets:
-        return False
-    if criteria.home_regions and entry.region not in criteria.home_regions:
-        return False
-    cold_limit = _cold_limit(state, criteria, now)
-    if cold_limit is not None:
-        if state.sends.count(now - COLD_WINDOW) >= cold_limit:
-            return False
-    return not state.is_backing_off(now)
-
-
-def _cold_limit(
-    state: TargetState, criteria: PlacementCriteria, now: timedelta
-) -> int | None:
-    if not state.is_cold(now):
-        return None
-    return criteria.cold_share.limit(state.order_seed)
-
-
 def _expected_wait(
     state: TargetState,
     mean_run_time: timedelta,
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -8,6 +8,7 @@
 import xxhash
 from plantainstand_fleet import TargetEntry
 
+from plantainstand_placement._cold_knowledge import ColdKnowledge
 from plantainstand_placement._recent_sends import RecentSends
 
 _NEVER = timedelta.min
@@ -60,6 +61,7 @@
         self.order_seed = xxhash.xxh32_intdigest(entry.target.encode())
         self.in_flight = 0
         self.cold_until = _NEVER
+        self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
         self._other_load = float(0)
         self._other_load_at = now
@@ -139,6 +141,7 @@
         """Record a response; ``failed`` if it is of no use to the client."""
         self._silent_since = now if self.in_flight else None
         self._backoff = UNREACHABLE_BACKOFF
+        self.knowledge.record_contact(now)
         self._record_result(now, failed=failed)
         if report is not None:
             load = report.running + report.waiting
@@ -152,6 +155,7 @@
         A target that does not report its load is assumed to be full.
         """
         self._silent_since = now if self.in_flight else None
+        self.knowledge.record_contact(now)
         self._record_result(now, failed=True)
         load = self.entry.slots + 1
         if report is not None:
@@ -160,10 +164,12 @@
 
     def record_failure(self, now: timedelta) -> None:
         """Record an exchange that ended without a whole response."""
+        self.knowledge.record_failure(now)
         self._record_result(now, failed=True)
 
     def record_unreachable(self, now: timedelta) -> None:
         """Record a failed connection and double the time to the next try."""
+        self.knowledge.record_failure(now)
         self._record_result(now, failed=True)
         self._backoff_until = now + self._backoff
         self._backoff = min(self._backoff * 2, UNREACHABLE_BACKOFF_MAX)
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -17,6 +17,7 @@
 from plantainstand_edge import (
     EntrySettings,
     HeaderCodec,
+    HealthMetadata,
     RequestMetadata,
     RequestSteering,
     ResponseMetadata,
@@ -24,6 +25,7 @@
 )
 from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._node import METRIC_HELP
+from plantainstand_edge._probes import TargetProbes
 from plantainstand_edge._target_limits import TargetLimits
 from plantainstand_fleet import (
     Roster,
@@ -115,6 +117,14 @@
     return ResponseMetadata(not_run, answer.status == 421, None)
 
 
+def _read_health(answer: TargetResponse) -> HealthMetadata:
+    target = header_value(answer.headers, b'target') or b''
+    cold = header_value(answer.headers, b'cold') or b'0'
+    return HealthMetadata(
+        TargetId(target.decode()), timedelta(seconds=int(cold))
+    )
+
+
 def _refusal_headers(_id: bytes, retry_after: timedelta | None) -> Headers:
     if retry_after is None:
         return ()
@@ -129,6 +139,7 @@
     _read_facts,
     _target_headers,
     _read_verdict,
+    _read_health,
     b'id',
     _refusal_headers,
 )
@@ -144,6 +155,7 @@
     seeds=(),
     cold_target_limits=ColdTargetLimits(1.5, 5),
     retry_budget_limits=RetryBudgetLimits(0.2, 58, timedelta(seconds=10)),
+    list_lag=timedelta(),
     stop_grace_period=timedelta(seconds=6),
 )
 
@@ -211,6 +223,12 @@
             RetryBudgetShare(SETTINGS.retry_budget_limits),
             fleet_view,
             TargetLimits(metrics, self.clock, lambda: None),
+            TargetProbes(
+                cast(TargetConnectionPool, self.pool),
+                HEADER_CODEC,
+                view,
+                self.clock,
+            ),
             metrics,
         )
         self.steering = RequestSteering(
--- a/tests/edge/simulated_fleet.py
+++ b/tests/edge/simulated_fleet.py
@@ -35,6 +35,7 @@
 from plantainstand_desired import Item, ItemKind, ServicePolicy, Version
 from plantainstand_edge import EntryNode, EntrySettings, RequestMetadata
 from plantainstand_edge._control_links import ControlLinks
+from plantainstand_edge._probes import TargetProbes
 from plantainstand_fleet import TargetEntry
 from plantainstand_http import Request
 from plantainstand_links import Link, LinkCallbacks, OutgoingLink
@@ -54,6 +55,7 @@
 RECONNECT_TIME = timedelta(milliseconds=300)
 LIST_LAG = timedelta(milliseconds=800)
 REPORT_INTERVAL = timedelta(milliseconds=500)
+PROBE_TIME = timedelta(milliseconds=50)
 RUN_TIME = timedelta(milliseconds=100)
 LEADER_LOSS_TIME = timedelta(seconds=1)
 CONTROL_COUNT = 3
@@ -244,6 +246,7 @@
                 retry_budget_limits=RetryBudgetLimits(
                     0.2, 58, timedelta(seconds=10)
                 ),
+                list_lag=LIST_LAG,
                 stop_grace_period=timedelta(seconds=6),
             ),
             HEADER_CODEC,
@@ -275,6 +278,7 @@
             patch.object(ControlLinks, '_connect', _ignore),
             patch.object(Peers, '_connect', _ignore),
             patch.object(ControlLinks, '_update_links', _ignore),
+            patch.object(TargetProbes, 'start', self._probe),
         ):
             end = self.now + duration
             while self.now < end:
@@ -357,6 +361,25 @@
         state.record_sent(now)
         self.at(now + RUN_TIME, partial(self._answer, state))
 
+    def _probe(self, _service: ServiceId, states: list[TargetState]) -> None:
+        for state in states:
+            state.knowledge.record_probe(self.now)
+            self.at(
+                self.now + PROBE_TIME,
+                partial(self._answer_probe, state, self.now),
+            )
+
+    def _answer_probe(self, state: TargetState, asked_at: timedelta) -> None:
+        target = self._target(state.entry.target)
+        if self.now < target.up_from:
+            return
+        cold_left = target.cold_until - self.now
+        if cold_left > timedelta():
+            state.knowledge.record_contact(self.now)
+            state.cold_until = max(state.cold_until, target.cold_until)
+        else:
+            state.knowledge.record_warm(asked_at)
+
     def _answer(self, state: TargetState) -> None:
         state.record_ended()
         state.record_response(self.now, None, failed=False)
--- a/tests/placement/test_board.py
+++ b/tests/placement/test_board.py
@@ -62,6 +62,19 @@
         }
         self.assertEqual(cold, {'a': False, 'b': True})
 
+    def test_requests_before_a_new_start_count(self) -> None:
+        """Guards against a second share for a target that started again.
+
+        The list tells of the new start later than the first requests to it.
+        """
+        table = TargetTable()
+        table.update(_FIRST, _update(entry('a')), NOW)
+        table.states[0].record_sent(_SECOND_LATER)
+        table.update(_FIRST, _update(entry('a', started_ms=2)), _SECOND_LATER)
+        restarted = table.states[0]
+        self.assertEqual(restarted.in_flight, 0)
+        self.assertEqual(restarted.sends.count(NOW), 1)
+
     def test_restarted_target_has_new_state(self) -> None:
         """A restarted process has none of the earlier requests and is cold."""
         table = TargetTable()
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -8,6 +8,7 @@
 from plantainstand_placement import LoadReport
 from plantainstand_platform.requests import (
     local_response_headers,
+    read_health_metadata,
     read_request_metadata,
     read_response_metadata,
     target_headers,
@@ -57,6 +58,25 @@
         self.assertIn((b'x-deadline-ms', b'123'), headers)
         self.assertIn((b'x-expect-instance', b'i-1'), headers)
 
+    def test_health_metadata(self) -> None:
+        """Guards against a cold target that is taken for warm."""
+        cases = (
+            ((), None, 0),
+            (((b'x-instance-id', b'i-1'),), 'i-1', 0),
+            (((b'x-instance-id', b'i-1'), (b'x-cold-ms', b'2500')), 'i-1', 2.5),
+            (((b'x-cold-ms', b'12.5'),), None, 0.0125),
+            (((b'x-cold-ms', b'soon'),), None, 0),
+            (((b'x-cold-ms', b'-1'),), None, 0),
+            (((b'x-cold-ms', b'9' * 400),), None, 0),
+        )
+        for headers, target, cold_seconds in cases:
+            with self.subTest(headers=headers):
+                stated = read_health_metadata(TargetResponse(200, headers, b''))
+                self.assertEqual(stated.target, target)
+                self.assertEqual(
+                    stated.cold_left, timedelta(seconds=cold_seconds)
+                )
+
     def test_response_metadata(self) -> None:
         """Only the specified header and status say that nothing ran."""
         load = (b'x-server-load', b'3,1,8')
