Cold targets: timeouts of busy targets raise no doubt; a replaced target is gone

Change: a timeout counts as a possible new start only if the target sent no response since the request; a probe that another target answers counts as a failed connection.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -130,7 +130,7 @@
     ) -> Response | None:
         now = self._clock.monotonic()
         if isinstance(outcome, Err):
-            self._record_failure(active, choice, outcome.err_value, now)
+            self._record_failure(active, choice, outcome.err_value, started)
             return None
         route = active.match.name
         self._longest_durations.record(route, now - started, now)
@@ -186,8 +186,9 @@
         active: ActiveRequest,
         choice: Choice,
         failure: ExchangeFailure,
-        now: timedelta,
+        started: timedelta,
     ) -> None:
+        now = self._clock.monotonic()
         active.last_failure = failure.kind
         if failure.kind is FailureKind.NOT_SENT:
             active.connect_failures += 1
@@ -196,7 +197,8 @@
         else:
             active.sends += 1
             active.maybe_ran = True
-            choice.state.record_failure(now)
+            timed_out = failure.kind is FailureKind.TIMED_OUT
+            choice.state.record_failure(now, started if timed_out else None)
         if failure.kind is FailureKind.TIMED_OUT:
             duration = now - active.request.received_at
             self._longest_durations.record(active.match.name, duration, now)
--- a/libraries/edge/plantainstand_edge/_probes.py
+++ b/libraries/edge/plantainstand_edge/_probes.py
@@ -85,13 +85,15 @@
         now = self._clock.monotonic()
         stated = self._header_codec.read_health_metadata(answer)
         outcome = f'status {answer.status}'
-        if stated.target != state.entry.target:
+        if stated.target not in {None, state.entry.target}:
+            # The target is gone; the list still shows it.
+            state.record_unreachable(now)
             outcome = 'another target answered'
         elif stated.cold_left:
             state.knowledge.record_contact(now)
             state.cold_until = max(state.cold_until, now + stated.cold_left)
             outcome = 'cold'
-        elif answer.status == HTTPStatus.OK:
+        elif answer.status == HTTPStatus.OK and stated.target is not None:
             state.knowledge.record_warm(asked_at)
             outcome = 'warm'
         self._log_answer(state, asked_at, outcome)
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -70,6 +70,7 @@
         self._backoff_until = _NEVER
         self._backoff = UNREACHABLE_BACKOFF
         self._silent_since: timedelta | None = None
+        self._responded_at = _NEVER
         self._known_objects: OrderedDict[bytes, bool] = OrderedDict()
 
     def knows(self, object_key: bytes) -> bool:
@@ -139,9 +140,8 @@
         failed: bool,
     ) -> None:
         """Record a response; ``failed`` if it is of no use to the client."""
-        self._silent_since = now if self.in_flight else None
+        self._record_contact(now)
         self._backoff = UNREACHABLE_BACKOFF
-        self.knowledge.record_contact(now)
         self._record_result(now, failed=failed)
         if report is not None:
             load = report.running + report.waiting
@@ -154,17 +154,23 @@
 
         A target that does not report its load is assumed to be full.
         """
-        self._silent_since = now if self.in_flight else None
-        self.knowledge.record_contact(now)
+        self._record_contact(now)
         self._record_result(now, failed=True)
         load = self.entry.slots + 1
         if report is not None:
             load = report.running + report.waiting
         self._record_other_load(now, load - self.in_flight)
 
-    def record_failure(self, now: timedelta) -> None:
-        """Record an exchange that ended without a whole response."""
-        self.knowledge.record_failure(now)
+    def record_failure(
+        self, now: timedelta, silent_since: timedelta | None = None
+    ) -> None:
+        """Record an exchange that ended without a whole response.
+
+        A timeout alone says little about a busy target: it may have ended only
+        if it has sent no response since ``silent_since``.
+        """
+        if silent_since is None or self._responded_at < silent_since:
+            self.knowledge.record_failure(now)
         self._record_result(now, failed=True)
 
     def record_unreachable(self, now: timedelta) -> None:
@@ -174,6 +180,11 @@
         self._backoff_until = now + self._backoff
         self._backoff = min(self._backoff * 2, UNREACHABLE_BACKOFF_MAX)
 
+    def _record_contact(self, now: timedelta) -> None:
+        self._silent_since = now if self.in_flight else None
+        self._responded_at = now
+        self.knowledge.record_contact(now)
+
     def _record_result(self, now: timedelta, *, failed: bool) -> None:
         rate = self.failure_rate(now)
         self._failure_rate = rate + NEWEST_RESULT_WEIGHT * (failed - rate)
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -118,10 +118,11 @@
 
 
 def _read_health(answer: TargetResponse) -> HealthMetadata:
-    target = header_value(answer.headers, b'target') or b''
+    target = header_value(answer.headers, b'target')
     cold = header_value(answer.headers, b'cold') or b'0'
     return HealthMetadata(
-        TargetId(target.decode()), timedelta(seconds=int(cold))
+        TargetId(target.decode()) if target else None,
+        timedelta(seconds=int(cold)),
     )
 
 
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -65,6 +65,8 @@
                 self.assertFalse(await probes.wait(timedelta(seconds=1)))
                 known = state.knowledge.is_known(now, _OLD)
                 self.assertEqual((known, state.is_cold(now)), (warm, cold))
+                gone = outcome == _answer(200, target=b'other')
+                self.assertEqual(state.is_backing_off(now), gone)
                 self.assertIn(b'GET /health HTTP/1.1', pool.sent[0])
 
     async def test_service_without_a_policy(self) -> None:
--- a/tests/placement/test_cold_knowledge.py
+++ b/tests/placement/test_cold_knowledge.py
@@ -74,6 +74,23 @@
         self.assertTrue(knowledge.is_known(NOW, _reading(_TICK)))
 
 
+class TimeoutTests(unittest.TestCase):
+    """A busy target that times out has not started again."""
+
+    def test_timeout_of_a_busy_target(self) -> None:
+        """Guards against targets that lose their load for being busy."""
+        for answers, known in ((True, True), (False, False)):
+            with self.subTest(answers=answers):
+                state = idle_targets('t1')[0]
+                state.record_sent(NOW - _TICK * 9)
+                if answers:
+                    state.record_response(NOW - _TICK, None, failed=False)
+                state.record_failure(NOW, silent_since=NOW - _TICK * 9)
+                self.assertEqual(
+                    state.knowledge.is_known(NOW, _reading(_TICK)), known
+                )
+
+
 class UnknownTargetTests(unittest.TestCase):
     """Choices of a VM whose list is old."""
 
