Cold targets: requests count when they leave, and decisions do not keep

Change: the window holds the time at which the request leaves; a decision older than 0.8 s is not carried out. SendTimeTests failed before: the pool did not ask again.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -1,11 +1,13 @@
 """Sends a request to one target and records the outcome."""
 
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 
 import structlog
 from plantainstand_core import Clock
 from plantainstand_http import (
+    CONNECT_TIMEOUT,
     ExchangeFailure,
     FailureKind,
     Response,
@@ -35,6 +37,10 @@
 """Longest body of an error response that is kept in memory to be forwarded."""
 
 
+DECISION_LIFETIME = CONNECT_TIMEOUT * 2
+"""Time after a decision until which its request may leave."""
+
+
 class TargetAttempts:
     """Makes single attempts; the caller decides whether to make another."""
 
@@ -108,6 +114,7 @@
             (self._header_codec.request_id_header, active.metadata.request_id),
             time_left,
             head_only=active.request.method == b'HEAD',
+            may_send=partial(self._may_send, active, state),
         )
         if isinstance(outcome, Err) or outcome.ok_value.rest is None:
             return outcome
@@ -116,6 +123,20 @@
         # Another attempt may follow, so the client must not get this body yet.
         return await read_whole(outcome.ok_value, MAX_ERROR_BODY_BYTES)
 
+    def _may_send(self, active: ActiveRequest, state: TargetState) -> bool:
+        """Count a request at the time at which it leaves.
+
+        The decision to send it does not hold for long: the process may have
+        stood still meanwhile.
+        """
+        now = self._clock.monotonic()
+        decided_at = active.last_sent_at or now
+        if now - decided_at > DECISION_LIFETIME:
+            return False
+        state.sends.postpone(decided_at, now)
+        active.last_sent_at = now
+        return True
+
     def _may_retry(self, response: TargetResponse) -> bool:
         stated = self._header_codec.read_response_metadata(response)
         failed = response.status >= HTTPStatus.BAD_REQUEST
--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_journey.py
@@ -59,7 +59,7 @@
     it took the target for cold."""
 
     last_sent_at: timedelta | None = None
-    """Monotonic time at which the last attempt was decided."""
+    """Monotonic time at which the last attempt left, or was decided."""
 
     last_expected_wait: timedelta = timedelta()
     """Estimated wait in the last target's queue."""
--- a/libraries/http/plantainstand_http/__init__.py
+++ b/libraries/http/plantainstand_http/__init__.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 server and pooled client on one event loop."""
 
 from plantainstand_http._answer_reader import TargetResponse
-from plantainstand_http._client import TargetConnectionPool, read_whole
+from plantainstand_http._client import (
+    CONNECT_TIMEOUT,
+    TargetConnectionPool,
+    read_whole,
+)
 from plantainstand_http._messages import (
     Headers,
     Request,
@@ -21,6 +25,7 @@
 )
 
 __all__ = (
+    'CONNECT_TIMEOUT',
     'TargetResponse',
     'BodyStream',
     'ClientLimits',
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -20,6 +21,10 @@
 """Longest time to connect: several round trips between regions."""
 
 
+def _always() -> bool:
+    return True
+
+
 class TargetConnectionPool:
     """Pool of connections to targets by address; owned by one event loop."""
 
@@ -37,6 +42,7 @@
         timeout: timedelta,
         *,
         head_only: bool = False,
+        may_send: Callable[[], bool] = _always,
     ) -> ExchangeResult:
         """Send a request and wait for the response.
 
@@ -44,13 +50,18 @@
         response is returned whole, a large one as its head and a stream that
         the caller closes; the timeout covers both. When the caller is
         cancelled the connection is closed, so that the target stops working on
-        the request.
+        the request. ``may_send`` is called once there is a connection, right
+        before the request leaves; if it returns False, nothing is sent.
         """
         started = self._clock.monotonic()
         connected = await self._connect(address, min(timeout, CONNECT_TIMEOUT))
         if isinstance(connected, Err):
             return connected
         connection = connected.ok_value
+        if not may_send():
+            self._release(address, connection)
+            detail = 'the permission to send has ended'
+            return Err(ExchangeFailure(FailureKind.NOT_SENT, detail))
         waiter = connection.send(
             payload,
             echoed_header,
--- a/libraries/placement/plantainstand_placement/_recent_sends.py
+++ b/libraries/placement/plantainstand_placement/_recent_sends.py
@@ -20,6 +20,12 @@
             self._sent_at.popleft()
         self._sent_at.append(now)
 
+    def postpone(self, decided_at: timedelta, now: timedelta) -> None:
+        """Record that a request, recorded when it was decided, leaves now."""
+        if decided_at in self._sent_at:
+            self._sent_at.remove(decided_at)
+        self.record(now)
+
     def count(self, after: timedelta) -> int:
         """Return the number of requests sent later than ``after``."""
         number = 0
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -140,9 +140,8 @@
         failed: bool,
     ) -> None:
         """Record a response; ``failed`` if it is of no use to the client."""
-        self._record_contact(now)
         self._backoff = UNREACHABLE_BACKOFF
-        self._record_result(now, failed=failed)
+        self._record_result(now, failed=failed, responded=True)
         if report is not None:
             load = report.running + report.waiting
             self._record_other_load(now, load - self.in_flight)
@@ -154,8 +153,7 @@
 
         A target that does not report its load is assumed to be full.
         """
-        self._record_contact(now)
-        self._record_result(now, failed=True)
+        self._record_result(now, failed=True, responded=True)
         load = self.entry.slots + 1
         if report is not None:
             load = report.running + report.waiting
@@ -180,12 +178,13 @@
         self._backoff_until = now + self._backoff
         self._backoff = min(self._backoff * 2, UNREACHABLE_BACKOFF_MAX)
 
-    def _record_contact(self, now: timedelta) -> None:
-        self._silent_since = now if self.in_flight else None
-        self._responded_at = now
-        self.knowledge.record_contact(now)
-
-    def _record_result(self, now: timedelta, *, failed: bool) -> None:
+    def _record_result(
+        self, now: timedelta, *, failed: bool, responded: bool = False
+    ) -> None:
+        if responded:
+            self._silent_since = now if self.in_flight else None
+            self._responded_at = now
+            self.knowledge.record_contact(now)
         rate = self.failure_rate(now)
         self._failure_rate = rate + NEWEST_RESULT_WEIGHT * (failed - rate)
         self._failure_rate_at = now
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -1,6 +1,6 @@
 """Request steering with a scripted pool of target connections."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import cast
 
@@ -75,6 +75,7 @@
     def __init__(self, outcomes: Sequence[Outcome], clock: ManualClock):
         self.sent: list[str] = []
         self.timeouts: list[timedelta] = []
+        self.connect_time = timedelta()
         self._outcomes = list(outcomes)
         self._clock = clock
 
@@ -86,8 +87,12 @@
         timeout: timedelta,
         *,
         head_only: bool = False,
+        may_send: Callable[[], bool],
     ) -> Outcome:
         """Return the next outcome; a timeout advances the clock."""
+        self._clock.advance(self.connect_time)
+        if not may_send():
+            return NOT_SENT
         self.sent.append(address)
         self.timeouts.append(timeout)
         outcome = self._outcomes.pop(0)
--- a/tests/edge/test_steering.py
+++ b/tests/edge/test_steering.py
@@ -1,6 +1,7 @@
 """Guards how one request ends under each kind of target failure."""
 
 import unittest
+from datetime import timedelta
 
 from plantainstand_http import BodyStream, StreamSource, TargetResponse
 from result import Ok
@@ -20,6 +21,29 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+class SendTimeTests(unittest.IsolatedAsyncioTestCase):
+    """Limits on windows of time hold for requests as they leave."""
+
+    async def test_slow_connection(self) -> None:
+        """Guards against two seconds' requests that leave in one."""
+        fixture = SteeringFixture(ANSWERED, targets=1)
+        fixture.pool.connect_time = timedelta(milliseconds=350)
+        decided_at = fixture.clock.monotonic()
+        await fixture.steering.handle(fixture.request())
+        sends = fixture.target_table.states[0].sends
+        self.assertEqual(sends.count(decided_at), 1)
+        left_at = decided_at + fixture.pool.connect_time
+        self.assertEqual(sends.time_of_last(1), left_at)
+
+    async def test_vm_that_stood_still(self) -> None:
+        """A decision from before a pause is not carried out after it."""
+        fixture = SteeringFixture(ANSWERED, targets=1)
+        fixture.pool.connect_time = timedelta(milliseconds=900)
+        response = await fixture.steering.handle(fixture.request())
+        self.assertEqual(response.status, 503)
+        self.assertEqual(fixture.pool.sent, [])
+
+
 class AttemptTests(unittest.IsolatedAsyncioTestCase):
     """Which failures are retried, and which status the client receives."""
 
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -19,7 +19,9 @@
     def __init__(self) -> None:
         self.sent = asyncio.Event()
 
-    async def exchange(self, *_arguments: object, **_options: bool) -> Outcome:
+    async def exchange(
+        self, *_arguments: object, **_options: object
+    ) -> Outcome:
         """Wait until cancelled."""
         self.sent.set()
         never: asyncio.Future[Outcome]
