Target list: no entry hides the others or ends a process, whatever it holds

Report of another operator, shown here: an entry of another writer that is very deeply nested made the whole page fail with a RecursionError, a lone surrogate made it unreadable; numbers beyond 64 bits failed when the list was sent to other VMs, a cold time of 1e308 s when it arrived. Each ended the task that reads the list, for good. An id with a line break went into a request header; one absurd number of slots would have drawn the requests of a service.

--- a/tests/platform_adapter/test_targets.py
+++ b/tests/platform_adapter/test_targets.py
@@ -1,17 +1,28 @@
 """Target list, in which other programs write entries too, and settings."""
 
+import json
 import unittest
+from collections.abc import Mapping
+from datetime import timedelta
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import MappingProxyType
 
 import msgspec
+from plantainstand_core import VmId
+from plantainstand_fleet import (
+    TargetUpdate,
+    decode_fleet_message,
+    encode_fleet_message,
+)
+from plantainstand_placement import TargetTable
 from plantainstand_platform.entry_role import entry_settings
+from plantainstand_platform.pages import decode_page
 from plantainstand_platform.settings import (
     PlatformSettings,
     read_settings,
 )
-from plantainstand_platform.targets import decode_entry, decode_page
+from plantainstand_platform.targets import decode_entry
 from result import Err
 
 _SETTINGS = """
@@ -43,6 +54,57 @@
 )
 
 
+def _nested(depth: int) -> str:
+    return ''.join(('[' * depth, ']' * depth))
+
+
+_LARGE_NUMBER = '9' * 5000
+_ODD_DOCUMENTS = (
+    _nested(100_000),
+    f'{{"id":"i-2","a":{_nested(2000)}}}',
+    f'{{"id":{_nested(600)}}}',
+    f'{{"a":"[{{,","b":{_nested(2000)}}}',
+    r'{"a":"\"[","id":"\ud800"}',
+    f'{{"id":"i-2","slots":{_LARGE_NUMBER}}}',
+    'null',
+    '17',
+    '"text"',
+    '[]',
+)
+_ODD_FIELDS: tuple[Mapping[str, object], ...] = (
+    {'slots': 2**64},
+    {'slots': 2**63},
+    {'slots': -(2**70)},
+    {'slots': -1},
+    {'slots': 1e300},
+    {'coldLeftS': 1e308},
+    {'coldLeftS': 10**400},
+    {'born': 2**70},
+    {'born': -(2**70)},
+    {'born': 10**18},
+    {'address': '10.128.0.9:99999'},
+    {'address': '10.128.0.9:65536'},
+    {'address': '10.128.0.9:0'},
+    {'address': '10.128.0.9:-1'},
+    {'address': f'10.128.0.9:{_LARGE_NUMBER}'},
+    {'address': '10.128.0.9:８０'},
+    {'address': '10.128.0.9\r\n:80'},
+    {'address': '10.128.0.9\0:80'},
+    {'address': 'no.such.host:80'},
+    {'address': f'{_LARGE_NUMBER}:80'},
+    {'address': ':80'},
+    {'id': 'a\r\nX-Other: 1'},
+    {'id': 'ñ'},
+    {'id': 'a' * 10_000},
+    {'zone': ['bajio-a']},
+)
+"""Fields that no usable entry has."""
+
+
+def _odd_entry(changes: Mapping[str, object]) -> str:
+    return json.dumps({**_ENTRY, 'id': 'i-2', **changes})
+
+
 def _read(text: str) -> PlatformSettings:
     with TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.yaml'
@@ -82,10 +144,44 @@
         entries = [decode_entry(raw, settings) for raw in page.instances]
         self.assertEqual([entry is None for entry in entries], [True, False])
 
+    def test_odd_entry_does_not_hide_the_others(self) -> None:
+        """Guards against an entry that ends a process or stops the reading.
+
+        The page goes the whole way, from its bytes to a request's headers.
+        """
+        settings = _read(_SETTINGS)
+        for odd in (*_ODD_DOCUMENTS, *map(_odd_entry, _ODD_FIELDS)):
+            with self.subTest(odd=odd[:80]):
+                body = '{"instances":[%s,%s,%s],"nextToken":"p-2"}' % (
+                    odd,
+                    _odd_entry({'id': 'i-1'}),
+                    odd,
+                )
+                page = decode_page(body.encode()).unwrap()
+                self.assertEqual(page.next_token, 'p-2')
+                entries = [
+                    decode_entry(raw, settings) for raw in page.instances
+                ]
+                usable = tuple(each for each in entries if each is not None)
+                self.assertEqual([each.target for each in usable], ['i-1'])
+                update = TargetUpdate(True, usable, (), 0)
+                frame = encode_fleet_message(update)
+                table = TargetTable()
+                received = decode_fleet_message(frame).unwrap()
+                assert isinstance(received, TargetUpdate)
+                table.update(VmId('10.0.0.1'), received, timedelta(days=9))
+                self.assertEqual(len(table.states), 1)
+
     def test_malformed_page(self) -> None:
         """A page that is not valid is a problem, not an empty list."""
         for body in (b'', b'nonsense', b'{"instances":3}'):
             self.assertIsInstance(decode_page(body), Err)
+        for text in (
+            '{"instances":[[[',
+            '{"instances":[{"id":"a"}',
+            '[' * 9999,
+        ):
+            self.assertIsInstance(decode_page(text.encode()), Err)
 
 
 class SettingsTests(unittest.TestCase):
