--- a/libraries/control/plantainstand_control/_poller.py
+++ b/libraries/control/plantainstand_control/_poller.py
@@ -160,7 +160,12 @@
         )
 
     async def _read_once(self, started_at: timedelta) -> None:
-        outcome = await self._read()
+        try:
+            outcome = await self._read()
+        except Exception as fault:
+            # The reading has to go on, whatever another program has listed.
+            _log.exception('reader of the target list failed')
+            outcome = Err(ListProblem(repr(fault)))
         if isinstance(outcome, Err):
             self._record_readability(outcome.err_value.description)
             return
--- a/tests/control/test_poller.py
+++ b/tests/control/test_poller.py
@@ -30,7 +30,7 @@
 class _ScriptedReader:
     """Control VM that reads the given lists, and then repeats the last one."""
 
-    def __init__(self, *readings: Reading, rank: int = 0):
+    def __init__(self, *readings: Reading | OverflowError, rank: int = 0):
         self.calls = 0
         self.published: list[TargetUpdate] = []
         self.shared: list[TargetUpdate] = []
@@ -53,9 +53,12 @@
 
     async def _read(self) -> Reading:
         self.calls += 1
+        reading = self._readings[0]
         if len(self._readings) > 1:
-            return self._readings.pop(0)
-        return self._readings[0]
+            self._readings.pop(0)
+        if isinstance(reading, OverflowError):
+            raise reading
+        return reading
 
     def _share(self, update: TargetUpdate) -> None:
         self.shared.append(update)
@@ -127,6 +130,17 @@
         await _until(lambda: others[0].calls > 2)
         self.assertEqual(others[1].calls, 0)
 
+    async def test_reader_that_fails(self) -> None:
+        """Guards against a fault of one reading that ends all later ones."""
+        reader = _ScriptedReader(
+            Ok(TargetList((entry('a'),), 1)),
+            OverflowError('a number is too large'),
+            Ok(TargetList((entry('b'),), 1)),
+        )
+        await reader.run(self.stack)
+        await _until(lambda: len(reader.published) > 1)
+        self.assertEqual(_target_names(reader.published[1]), (['b'], ['a']))
+
     async def test_new_reader_shares_the_whole_list(self) -> None:
         """A VM shares the whole list first when it starts to read.
 
