Target connections: a port out of range is a failed connection

The event loop raises an OverflowError for such a port, which failed the client's request with 500. test_address_that_cannot_be_used failed before.

--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -150,7 +150,7 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError, ValueError) as problem:
+        except (OSError, OverflowError, ValueError) as problem:
             detail = f'no connection: {problem!r}'
             return Err(ExchangeFailure(FailureKind.NOT_SENT, detail))
         return Ok(connection)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -95,6 +95,16 @@
             with self.subTest(name):
                 self.assertEqual(await self._exchange(script), expected)
 
+    async def test_address_that_cannot_be_used(self) -> None:
+        """Guards against an address that fails the request with a fault."""
+        for port in ('99999', '-1', 'http', '9' * 5000):
+            with self.subTest(port=port[:9]):
+                outcome = await self.pool.exchange(
+                    f'127.0.0.1:{port}', _REQUEST, _ECHOED_HEADER, _TIMEOUT
+                )
+                assert isinstance(outcome, Err)
+                self.assertIs(outcome.err_value.kind, FailureKind.NOT_SENT)
+
     async def test_refused_connection_is_not_sent(self) -> None:
         """A refused connection is the proof that a request did not run.
 
