Control VM: without the leader, old state is held back from a new entry VM

Cause: eight entry VMs restarted at once; one control VM had been removed from the log while it was cut off and kept the state of that time (index 5, others at 13). Restarted entry VMs that reached it first did not know of an evacuation and sent to its zone for 0.1 s, until the other control VMs answered. Change: a control VM without the leader sends its state to an entry VM that has just connected only after 1 s; without any leader old state is better than none.

--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -10,7 +10,11 @@
 
 import msgspec
 import structlog
-from plantainstand_consensus import ReplicaStatus, decode_message
+from plantainstand_consensus import (
+    LogReplica,
+    ReplicaStatus,
+    decode_message,
+)
 from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredState, DesiredView
 from plantainstand_fleet import (
@@ -53,6 +57,12 @@
 SUPERVISION_INTERVAL = timedelta(milliseconds=500)
 """Interval between two updates of members, links and rosters."""
 
+STALE_STATE_DELAY = timedelta(seconds=1)
+"""Time for which a control VM without the leader holds back its desired state
+from an entry VM that has connected. An entry VM that has just started would
+follow changes that were withdrawn long ago; without any leader, old state is
+better than none."""
+
 MEMBER_CHANGE_TIMEOUT = timedelta(seconds=2)
 """Longest wait until a change of the members is committed."""
 
@@ -75,6 +85,8 @@
     sent_index: LogIndex
     """Log index through which the VM has received the desired state."""
 
+    connected_at: timedelta
+
     listing: TargetListing = field(default_factory=TargetListing)
     """Target list that the VM has sent, if it is a control VM."""
 
@@ -191,6 +203,7 @@
             self._replicas.replace_peers(self._peers.peer_ids)
             self._replicas.log_status_changes()
             self._send_rosters()
+            self._send_desired_to_all()
             await self._change_members()
             await asyncio.sleep(SUPERVISION_INTERVAL.total_seconds())
 
@@ -249,7 +262,8 @@
 
     def _handle_hello(self, link: Link, hello: Hello) -> None:
         index = LogIndex(hello.desired_index)
-        peer = _LinkPeer(hello.vm, hello.role, index)
+        now = self._clock.monotonic()
+        peer = _LinkPeer(hello.vm, hello.role, index, now)
         self._link_peers[link] = peer
         if hello.role is VmRole.CONTROL:
             self._peers.record_hello(hello)
@@ -268,7 +282,7 @@
         match message:
             case ReplicaMessage(payload):
                 self._peers.record_message(peer.vm)
-                self._deliver_to_replica(peer.vm, payload)
+                _deliver(self._replicas.replica, peer.vm, payload)
             case EntryReport():
                 if self._limits.record_report(peer.vm, message.limits):
                     self._send_rosters()
@@ -289,17 +303,6 @@
             case _:
                 _log.warning('message of unexpected type', peer=peer.vm)
 
-    def _deliver_to_replica(self, source: VmId, payload: bytes) -> None:
-        decoded = decode_message(payload)
-        replica = self._replicas.replica
-        if isinstance(decoded, Err):
-            _log.warning(
-                'message of the replicated log could not be decoded',
-                peer=source,
-            )
-        elif replica is not None:
-            replica.deliver(source, decoded.ok_value)
-
     def _handle_link_closed(self, link: Link) -> None:
         self._link_peers.pop(link, None)
         self._entries.remove_link(link)
@@ -317,6 +320,9 @@
             (),
             self._state_machine.index,
         )
+        self._send_desired_to_all()
+
+    def _send_desired_to_all(self) -> None:
         for link, peer in self._link_peers.items():
             if peer.role is VmRole.ENTRY:
                 self._send_desired(link, peer)
@@ -325,6 +331,11 @@
         complete_through = self._state_machine.index
         if complete_through <= peer.sent_index:
             return
+        waited = self._clock.monotonic() - peer.connected_at
+        if waited < STALE_STATE_DELAY and not _has_leader_contact(
+            self._replicas.status
+        ):
+            return
         update = DesiredUpdate(
             tuple(self._state.items_after(peer.sent_index)),
             tuple(self._state.evacuations_after(peer.sent_index)),
@@ -354,3 +365,15 @@
 
 def _has_leader_contact(status: ReplicaStatus | None) -> bool:
     return status is not None and status.has_leader_contact
+
+
+def _deliver(replica: LogReplica | None, source: VmId, payload: bytes) -> None:
+    """Pass a message of the replicated log on to the replica, if it runs."""
+    decoded = decode_message(payload)
+    if isinstance(decoded, Err):
+        _log.warning(
+            'message of the replicated log could not be decoded',
+            peer=source,
+        )
+    elif replica is not None:
+        replica.deliver(source, decoded.ok_value)
