Targets that leave or want nothing for a while: what their answers say binds

New rules: Server-Leaving in any answer of a target, and Retry-After in a 503. Nothing read either header. Now platform/ decodes both; that a target leaves is passed on to all VMs with request limits, by target and start, and is never taken back; a pause binds the VM that got it, the latest end counts, and the target returns by the cold limit of all VMs together. Placement reads both in one place for requests, repeats, probes and requests that wait for a connection. If pauses are all that is in the way, a request is rejected at once with the time until the first ends.

--- a/bench/plantainstand_bench/_limited_fleet.py
+++ b/bench/plantainstand_bench/_limited_fleet.py
@@ -116,7 +116,7 @@
         """End an entry VM at once and start it again."""
         await _cancel(self._running[number])
         for target in self.targets:
-            target.told_at.pop(number, None)
+            target.excuse(number)
         self._start_vm(number)
 
     async def send_requests(
--- a/bench/plantainstand_bench/_limited_target.py
+++ b/bench/plantainstand_bench/_limited_target.py
@@ -39,6 +39,12 @@
     limit: bytes
     """Field with the requests per second that the target takes."""
 
+    leaving: bytes
+    """Field by which a target says that it leaves."""
+
+    not_run: bytes
+    """Field by which a target says that it has not run a request."""
+
 
 @dataclass
 class LimitedTarget:
@@ -63,6 +69,47 @@
     )
     """Limits and the times from which they were stated."""
 
+    leaving_since: timedelta | None = None
+    """Time of the first answer that said that the target leaves."""
+
+    pauses: list[tuple[int, timedelta, timedelta]] = field(default_factory=list)
+    """VM, time and end of each pause that was asked for."""
+
+    _is_leaving: bool = False
+    _pause: timedelta = timedelta()
+
+    def leave(self) -> None:
+        """Say in all answers that the target leaves."""
+        self._is_leaving = True
+
+    def turn_away(self, pause: timedelta) -> None:
+        """Reject all requests and ask for a pause, or stop doing so with 0."""
+        self._pause = pause
+
+    def excuse(self, vm: int) -> None:
+        """Forget what a VM was told, since it restarts."""
+        now = CLOCK.monotonic()
+        self.told_at.pop(vm, None)
+        self.pauses = [
+            (paused, begin, min(end, now) if paused == vm else end)
+            for paused, begin, end in self.pauses
+        ]
+
+    def arrivals_after_leaving(self, delay: timedelta) -> int:
+        """Return the requests that came later than ``delay`` after the word."""
+        since = self.leaving_since
+        if since is None:
+            return 0
+        return sum(at > since + delay for at, _vm in self.arrivals)
+
+    def arrivals_in_pauses(self) -> int:
+        """Return the requests from NOTICE_TIME after a pause was asked for."""
+        return sum(
+            vm == paused and begin + NOTICE_TIME <= at < end
+            for paused, begin, end in self.pauses
+            for at, vm in self.arrivals
+        )
+
     def state_limit(self, limit: float | None) -> None:
         """State another limit from now on, or none."""
         if limit is None:
@@ -151,9 +198,22 @@
         if self.limit is not None:
             self.told_at.setdefault(vm, now)
             stated = b'%s: %.1f\r\n' % (self.header_names.limit, self.limit)
-        return (
-            b'HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 5\r\n\r\nwhole'
-            % (self.header_names.request_id, request_id, stated)
+        if self._is_leaving:
+            self.leaving_since = self.leaving_since or now
+            stated += b'%s: 1\r\n' % self.header_names.leaving
+        status = b'200 OK'
+        if self._pause:
+            self.pauses.append((vm, now, now + self._pause))
+            status = b'503 Service Unavailable'
+            stated += b'%s: 1\r\nRetry-After: %.2f\r\n' % (
+                self.header_names.not_run,
+                self._pause.total_seconds(),
+            )
+        return b'HTTP/1.1 %s\r\n%s: %s\r\n%sContent-Length: 5\r\n\r\nwhole' % (
+            status,
+            self.header_names.request_id,
+            request_id,
+            stated,
         )
 
 
--- a/libraries/control/plantainstand_control/_limits.py
+++ b/libraries/control/plantainstand_control/_limits.py
@@ -1,4 +1,4 @@
-"""Request limits of targets that a control VM passes on."""
+"""Statements of targets that a control VM passes on."""
 
 from collections.abc import Sequence
 
@@ -50,7 +50,7 @@
         changes = self._all.merge(statements, self._clock.monotonic())
         for changed in changes:
             _log.info(
-                'target limit changed',
+                'target leaves' if changed.leaving else 'target limit changed',
                 target=changed.target,
                 rate=changed.rate,
                 age_s=round(changed.age_seconds, 2),
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -268,6 +268,9 @@
         if hello.role is VmRole.CONTROL:
             self._peers.record_hello(hello)
             return
+        # A VM that has just started must know what targets stated before it
+        # serves requests.
+        self._send_rosters()
         self._send_desired(link, peer)
         full = self._poller.full_update()
         if full is not None:
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -25,11 +25,11 @@
 )
 from result import Err, Ok, Result
 
-from plantainstand_edge._dialect import HeaderCodec
+from plantainstand_edge._dialect import HeaderCodec, ResponseMetadata
 from plantainstand_edge._journey import ActiveRequest
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
-from plantainstand_edge._target_limits import TargetLimits
+from plantainstand_edge._target_limits import TargetLimits, record_pause
 
 _log = structlog.get_logger()
 
@@ -133,6 +133,10 @@
         decided_at = active.last_sent_at or now
         if now - decided_at > DECISION_LIFETIME:
             return False
+        if now < state.paused_until or self._target_limits.is_leaving(
+            state.entry
+        ):
+            return False
         state.sends.postpone(decided_at, now)
         active.last_sent_at = now
         return True
@@ -160,9 +164,7 @@
         stated = self._header_codec.read_response_metadata(response)
         state = choice.state
         if not stated.misdirected:
-            self._target_limits.record_answer(
-                state.entry, stated.request_limit, active.metadata.log_id
-            )
+            self._record_statements(active, state, stated)
         if stated.misdirected or stated.not_run:
             state.forget_object(active.object_key)
         if stated.misdirected:
@@ -190,6 +192,21 @@
             )
         return forward_response(response)
 
+    def _record_statements(
+        self,
+        active: ActiveRequest,
+        state: TargetState,
+        stated: ResponseMetadata,
+    ) -> None:
+        """Record what a target says of itself, in whatever answer."""
+        request = active.metadata.log_id
+        limits = self._target_limits
+        limits.record_answer(state.entry, stated.request_limit, request)
+        if stated.leaving:
+            limits.record_leaving(state.entry, request)
+        if stated.pause:
+            record_pause(state, stated.pause, self._clock, request=request)
+
     def _finish_body(
         self,
         active: ActiveRequest,
--- a/libraries/edge/plantainstand_edge/_dialect.py
+++ b/libraries/edge/plantainstand_edge/_dialect.py
@@ -54,6 +54,12 @@
     """Requests per second that the target takes from all entry VMs together,
     if it states a limit."""
 
+    leaving: bool = False
+    """Whether the target says that it leaves."""
+
+    pause: timedelta = timedelta()
+    """Time for which the target wants nothing from this VM."""
+
 
 @dataclass(frozen=True, slots=True)
 class HealthMetadata:
@@ -65,6 +71,12 @@
     cold_left: timedelta
     """Time for which the target remains cold; 0 if it is warm."""
 
+    leaving: bool = False
+    """Whether the target says that it leaves."""
+
+    pause: timedelta = timedelta()
+    """Time for which the target wants nothing from this VM."""
+
 
 @dataclass(frozen=True)
 class HeaderCodec:
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -79,6 +79,12 @@
         'plantainstand_entry_limited_targets': (
             'Targets known to have a request limit.'
         ),
+        'plantainstand_entry_leaving_targets': (
+            'Targets that said in an answer that they leave.'
+        ),
+        'plantainstand_entry_paused_targets': (
+            'Targets that want nothing from this VM for a while.'
+        ),
         'plantainstand_entry_desired_index': 'Log index of the desired state.',
     },
 )
@@ -106,10 +112,14 @@
         )
         self._pool = TargetConnectionPool(clock)
         self._metrics = Metrics(METRIC_HELP)
+        self._target_limits = TargetLimits(self._metrics, clock, self._report)
         self._probes = TargetProbes(
-            self._pool, header_codec, self._desired_view, clock
+            self._pool,
+            header_codec,
+            self._desired_view,
+            self._target_limits,
+            clock,
         )
-        self._target_limits = TargetLimits(self._metrics, clock, self._report)
         self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
         inputs = SteeringInputs(
             self._desired_view,
@@ -275,6 +285,8 @@
             'connections_opened': self._pool.opened_count,
             'controls': self._links.connected_count,
             'list_age_seconds': age.total_seconds(),
+            'leaving_targets': self._target_limits.stated.leaving_count,
+            'paused_targets': self._target_table.paused_count(now),
             'limited_targets': self._target_limits.stated.limited_count(now),
             'desired_index': self._desired_view.index,
         }
--- a/libraries/edge/plantainstand_edge/_probes.py
+++ b/libraries/edge/plantainstand_edge/_probes.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from plantainstand_edge._dialect import HeaderCodec
+from plantainstand_edge._target_limits import TargetLimits, record_pause
 
 _log = structlog.get_logger()
 
@@ -31,12 +32,14 @@
         pool: TargetConnectionPool,
         header_codec: HeaderCodec,
         desired_view: DesiredView,
+        target_limits: TargetLimits,
         clock: Clock,
     ):
         """Start without probes."""
         self._pool = pool
         self._header_codec = header_codec
         self._desired_view = desired_view
+        self._target_limits = target_limits
         self._clock = clock
         self._running: set[asyncio.Task[None]] = set()
 
@@ -84,6 +87,10 @@
     ) -> None:
         now = self._clock.monotonic()
         stated = self._header_codec.read_health_metadata(answer)
+        if stated.leaving and stated.target == state.entry.target:
+            self._target_limits.record_leaving(state.entry, 'probe')
+        if stated.pause and stated.target in {None, state.entry.target}:
+            record_pause(state, stated.pause, self._clock, request='probe')
         outcome = f'status {answer.status}'
         if stated.target not in {None, state.entry.target}:
             # The target is gone; the list still shows it.
--- a/libraries/edge/plantainstand_edge/_target_limits.py
+++ b/libraries/edge/plantainstand_edge/_target_limits.py
@@ -1,4 +1,4 @@
-"""Request limits that targets state, learned from answers and control VMs."""
+"""What targets state of themselves, learned from answers and control VMs."""
 
 from collections.abc import Callable, Sequence
 from datetime import timedelta
@@ -11,6 +11,7 @@
     StatedLimits,
     TargetEntry,
 )
+from plantainstand_placement import TargetState, pause_target
 from plantainstand_telemetry import Metrics
 
 _log = structlog.get_logger()
@@ -39,6 +40,23 @@
         key = (entry.target, entry.started_ms)
         return self.stated.limit(key, self._clock.monotonic())
 
+    def is_leaving(self, entry: TargetEntry) -> bool:
+        """Tell whether a target said that it leaves."""
+        return self.stated.is_leaving((entry.target, entry.started_ms))
+
+    def record_leaving(self, entry: TargetEntry, request_id: str) -> None:
+        """Record that an answer said that its target leaves."""
+        self._record(
+            LimitStatement(
+                entry.target,
+                entry.started_ms,
+                rate=None,
+                age_seconds=0,
+                leaving=True,
+            ),
+            request_id,
+        )
+
     def record_answer(
         self, entry: TargetEntry, rate: float | None, request_id: str
     ) -> None:
@@ -54,10 +72,7 @@
         statement = LimitStatement(
             entry.target, entry.started_ms, rate, age_seconds=0
         )
-        self._unreported.merge((statement,), now)
-        for changed in self.stated.merge((statement,), now):
-            _log_change(changed, request=request_id)
-            self._on_news()
+        self._record(statement, request_id)
 
     def merge(
         self, control: VmId, statements: Sequence[LimitStatement]
@@ -73,12 +88,37 @@
         self._unreported = StatedLimits()
         return statements
 
+    def _record(self, statement: LimitStatement, request_id: str) -> None:
+        now = self._clock.monotonic()
+        if not statement.leaving or not self._is_known_to_leave(statement):
+            self._unreported.merge((statement,), now)
+        for changed in self.stated.merge((statement,), now):
+            _log_change(changed, request=request_id)
+            self._on_news()
+
+    def _is_known_to_leave(self, statement: LimitStatement) -> bool:
+        key = (statement.target, statement.started_ms)
+        return self.stated.is_leaving(key)
+
 
 def _log_change(statement: LimitStatement, **source: str) -> None:
     _log.info(
-        'target limit changed',
+        'target leaves' if statement.leaving else 'target limit changed',
         target=statement.target,
         rate=statement.rate,
         age_s=round(statement.age_seconds, 2),
         **source,
     )
+
+
+def record_pause(
+    state: TargetState, pause: timedelta, clock: Clock, **source: str
+) -> None:
+    """Record that a target wants nothing from this VM for a while."""
+    if pause_target(state, clock.monotonic() + pause):
+        _log.info(
+            'target paused',
+            target=state.entry.target,
+            pause_s=round(pause.total_seconds(), 2),
+            **source,
+        )
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -54,6 +54,9 @@
     age_seconds: float
     """Time since the target's answer arrived at an entry VM."""
 
+    leaving: bool = False
+    """Whether the target said that it leaves; never taken back."""
+
 
 class EntryReport(_Message, frozen=True):
     """An entry VM's report on itself, sent twice a second."""
--- a/libraries/fleet/plantainstand_fleet/_stated_limits.py
+++ b/libraries/fleet/plantainstand_fleet/_stated_limits.py
@@ -1,4 +1,4 @@
-"""Newest statements of targets on the requests that they take."""
+"""Statements of targets on the requests that they take, or no longer take."""
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -15,6 +15,10 @@
 SIGNIFICANT_CHANGE = 0.1
 """Relative change of a limit that is passed on before the next report."""
 
+LEAVING_LIFETIME = timedelta(minutes=10)
+"""Age at which it is forgotten that a target leaves: far beyond the time for
+which one stays after it has said so."""
+
 StatementKey = tuple[TargetId, int]
 """Target and start of its process, in Unix milliseconds."""
 
@@ -35,11 +39,24 @@
 
 
 class StatedLimits:
-    """Newest statement of each target; the end of a limit is one as well."""
+    """Newest statement of each target; the end of a limit is one as well.
+
+    That a target leaves holds for its start, whatever it states later.
+    """
 
     def __init__(self) -> None:
         """Start without statements."""
         self._known: dict[StatementKey, KnownLimit] = {}
+        self._leaving_since: dict[StatementKey, timedelta] = {}
+
+    @property
+    def leaving_count(self) -> int:
+        """Number of targets that said that they leave."""
+        return len(self._leaving_since)
+
+    def is_leaving(self, key: StatementKey) -> bool:
+        """Tell whether a target said that it leaves."""
+        return key in self._leaving_since
 
     def limit(self, key: StatementKey, now: timedelta) -> KnownLimit | None:
         """Return the limit of a target; None if it has none."""
@@ -61,11 +78,16 @@
             for key, known in self._known.items()
             if not _is_expired(known, now)
         }
-        return tuple(each for each in statements if self._record(each, now))
+        self._leaving_since = {
+            key: since
+            for key, since in self._leaving_since.items()
+            if now - since < LEAVING_LIFETIME
+        }
+        return tuple(each for each in statements if self._merge(each, now))
 
     def statements(self, now: timedelta) -> tuple[LimitStatement, ...]:
         """Return all statements, with their ages as of ``now``."""
-        return tuple(
+        limits = tuple(
             LimitStatement(
                 target,
                 started_ms,
@@ -75,6 +97,27 @@
             for (target, started_ms), known in self._known.items()
             if not _is_expired(known, now)
         )
+        leaving = tuple(
+            LimitStatement(
+                target,
+                started_ms,
+                rate=None,
+                age_seconds=(now - since).total_seconds(),
+                leaving=True,
+            )
+            for (target, started_ms), since in self._leaving_since.items()
+        )
+        return limits + leaving
+
+    def _merge(self, statement: LimitStatement, now: timedelta) -> bool:
+        if not statement.leaving:
+            return self._record(statement, now)
+        key = (statement.target, statement.started_ms)
+        since = now - timedelta(seconds=statement.age_seconds)
+        if key in self._leaving_since or now - since >= LEAVING_LIFETIME:
+            return False
+        self._leaving_since[key] = since
+        return True
 
     def _record(self, statement: LimitStatement, now: timedelta) -> bool:
         key = (statement.target, statement.started_ms)
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -18,6 +18,7 @@
 )
 from plantainstand_placement._eligibility import targets_to_probe
 from plantainstand_placement._fleet_share import FleetShare
+from plantainstand_placement._pauses import pause_target
 from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
 from plantainstand_placement._run_times import (
@@ -54,5 +55,6 @@
     'TrafficSplitter',
     'choose_target',
     'ends_before_exit',
+    'pause_target',
     'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -47,6 +47,10 @@
         """All listed targets, draining ones included."""
         return tuple(self._states.values())
 
+    def paused_count(self, now: timedelta) -> int:
+        """Return the number of targets that want nothing from this VM."""
+        return sum(now < state.paused_until for state in self._states.values())
+
     def targets_of(self, service: ServiceId) -> ServiceTargets:
         """Return the targets of a service that are not draining."""
         return self._by_service.get(service, _NO_TARGETS)
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -29,6 +29,7 @@
     cold_limit,
     is_allowed,
     may_receive,
+    pause_left,
 )
 from plantainstand_placement._run_times import Familiarity, RunTimeEstimates
 from plantainstand_placement._service_targets import ServiceTargets
@@ -80,6 +81,9 @@
     """All targets that may receive the request have stated limits, and this
     VM has used its shares."""
 
+    PAUSED = 'targets paused'
+    """No target may receive the request, and some want nothing for a while."""
+
     NO_CAPACITY = 'no capacity'
     """The response would come too late."""
 
@@ -279,7 +283,7 @@
     )
     allowed = [state for state in order if is_allowed(state, criteria, now)]
     if not allowed:
-        return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
+        return _refuse_unusable(criteria, order, now)
     wait = criteria.request_limits.wait_of_next(
         allowed, now, estimates.returning_callers
     )
@@ -290,6 +294,18 @@
     )
 
 
+def _refuse_unusable(
+    criteria: PlacementCriteria, order: Sequence[TargetState], now: timedelta
+) -> Refusal:
+    left = pause_left(order, criteria, now)
+    if left is None:
+        return Refusal(RefusalReason.NO_TARGET, NO_TARGET_RETRY_AFTER)
+    return Refusal(
+        RefusalReason.PAUSED,
+        min(max(left, RETRY_AFTER_MIN), RETRY_AFTER_MAX),
+    )
+
+
 def _expected_wait(
     state: TargetState,
     mean_run_time: timedelta,
--- a/libraries/placement/plantainstand_placement/_eligibility.py
+++ b/libraries/placement/plantainstand_placement/_eligibility.py
@@ -63,6 +63,8 @@
     entry = state.entry
     if entry.target in criteria.tried_targets:
         return False
+    if now < state.paused_until or criteria.request_limits.is_leaving(entry):
+        return False
     if criteria.home_regions and entry.region not in criteria.home_regions:
         return False
     return not state.is_backing_off(now)
@@ -81,3 +83,16 @@
 ) -> bool:
     reading = criteria.list_reading
     return reading is None or state.knowledge.is_known(now, reading)
+
+
+def pause_left(
+    states: Sequence[TargetState], criteria: PlacementCriteria, now: timedelta
+) -> timedelta | None:
+    """Return the time until the first pause ends; None if there is none."""
+    limits = criteria.request_limits
+    ends = [
+        state.paused_until
+        for state in states
+        if state.paused_until > now and not limits.is_leaving(state.entry)
+    ]
+    return min(ends) - now if ends else None
--- a/libraries/placement/plantainstand_placement/_request_limits.py
+++ b/libraries/placement/plantainstand_placement/_request_limits.py
@@ -49,6 +49,10 @@
         """Return the limit that a target states; None if it states none."""
         return self.stated.limit((entry.target, entry.started_ms), now)
 
+    def is_leaving(self, entry: TargetEntry) -> bool:
+        """Tell whether a target said that it leaves."""
+        return self.stated.is_leaving((entry.target, entry.started_ms))
+
     def share(self, state: TargetState, rate: float) -> int:
         """Return this VM's requests to a target in ``LIMIT_WINDOW``.
 
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -61,6 +61,7 @@
         self.order_seed = xxhash.xxh32_intdigest(entry.target.encode())
         self.in_flight = 0
         self.cold_until = _NEVER
+        self.paused_until = _NEVER
         self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
         self._other_load = float(0)
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -222,17 +222,19 @@
         self.clock.advance(timedelta(seconds=1))
         fleet_view.record(VmId('10.0.0.1'), roster(SETTINGS.vm, ENTRY_COUNT))
         metrics = Metrics(METRIC_HELP)
+        limits = TargetLimits(metrics, self.clock, lambda: None)
         inputs = SteeringInputs(
             view,
             target_table,
             cast(TargetConnectionPool, pool or self.pool),
             RetryBudgetShare(SETTINGS.retry_budget_limits),
             fleet_view,
-            TargetLimits(metrics, self.clock, lambda: None),
+            limits,
             TargetProbes(
                 cast(TargetConnectionPool, self.pool),
                 HEADER_CODEC,
                 view,
+                limits,
                 self.clock,
             ),
             metrics,
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -7,9 +7,12 @@
 
 from plantainstand_core import ManualClock
 from plantainstand_desired import DesiredView
+from plantainstand_edge._node import METRIC_HELP
 from plantainstand_edge._probes import TargetProbes
+from plantainstand_edge._target_limits import TargetLimits
 from plantainstand_http import TargetConnectionPool, TargetResponse
 from plantainstand_placement import ListReading
+from plantainstand_telemetry import Metrics
 from result import Ok
 
 from tests.desired.builders import service_item
@@ -83,6 +86,7 @@
     if view is None:
         view = DesiredView()
         view.merge((service_item(),), (), view.index)
+    limits = TargetLimits(Metrics(METRIC_HELP), clock, lambda: None)
     return TargetProbes(
-        cast(TargetConnectionPool, pool), HEADER_CODEC, view, clock
+        cast(TargetConnectionPool, pool), HEADER_CODEC, view, limits, clock
     )
--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -56,6 +56,30 @@
         )
         self.assertEqual(self.limits.take_unreported(), ())
 
+    def test_target_that_leaves(self) -> None:
+        """It is reported at once, once, and never taken back."""
+        self.limits.record_leaving(_TARGET, '1')
+        self.limits.record_leaving(_TARGET, '2')
+        self.assertEqual(self.news, 1)
+        reported = self.limits.take_unreported()
+        expected = LimitStatement(
+            TargetId('t1'), 1, rate=None, age_seconds=0, leaving=True
+        )
+        self.assertEqual(reported, (expected,))
+        self.clock.advance(timedelta(seconds=60))
+        self._answer(None)
+        self._answer(6.5)
+        self.assertTrue(self.limits.is_leaving(_TARGET))
+        self.assertFalse(self.limits.is_leaving(entry('t1', started_ms=2)))
+
+    def test_departure_that_another_vm_learned(self) -> None:
+        """It binds this VM too."""
+        statement = LimitStatement(
+            TargetId('t1'), 1, rate=None, age_seconds=9, leaving=True
+        )
+        self.limits.merge(_CONTROL, (statement,))
+        self.assertTrue(self.limits.is_leaving(_TARGET))
+
     def _answer(self, rate: float | None) -> None:
         self.limits.record_answer(_TARGET, rate, '1')
 
--- a/tests/platform_adapter/test_limit_soak.py
+++ b/tests/platform_adapter/test_limit_soak.py
@@ -20,7 +20,13 @@
 _LONG_STALL = timedelta(milliseconds=500)
 """Half of the route's timeout."""
 
-_HEADER_NAMES = HeaderNames(b'x-request-id', b'x-deadline-ms', b'server-limit')
+_HEADER_NAMES = HeaderNames(
+    b'x-request-id',
+    b'x-deadline-ms',
+    b'server-limit',
+    b'server-leaving',
+    b'x-not-executed',
+)
 
 
 def _seeds() -> range:
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -2,6 +2,7 @@
 
 import unittest
 from datetime import timedelta
+from itertools import product
 
 from plantainstand_core import TargetId
 from plantainstand_http import Request, TargetResponse
@@ -130,6 +131,43 @@
         unlimited = read_response_metadata(TargetResponse(200, (), b''))
         self.assertIsNone(unlimited.request_limit)
 
+    def test_target_that_leaves(self) -> None:
+        """Guards against new work for a target that said so in an answer."""
+        stated = ((b'1', True), (b' 1 ', True), (b'0', False), (b'', False))
+        for status, (content, leaving) in product((200, 404, 429, 503), stated):
+            headers = ((b'server-leaving', content),)
+            answer = TargetResponse(status, headers, b'')
+            with self.subTest(status=status, content=content):
+                for read in (read_response_metadata, read_health_metadata):
+                    self.assertIs(read(answer).leaving, leaving)
+
+    def test_pause(self) -> None:
+        """Only seconds count; a date or anything else is no pause."""
+        cases = (
+            (503, b'2', 2),
+            (503, b'0.25', 0.25),
+            (503, b' 7. ', 7),
+            (503, b'0', 0),
+            (503, b'00000000002', 2),
+            (503, b'9' * 5000, 3600),
+            (503, b'99999.5', 3600),
+            (503, b'0.%s' % (b'3' * 5000), 0.333333),
+            (503, b'-1', 0),
+            (503, b'1e3', 0),
+            (503, b'nan', 0),
+            (503, b'', 0),
+            (503, b'Sat, 05 Dec 2026 08:00:00 GMT', 0),
+            (429, b'2', 0),
+            (200, b'2', 0),
+        )
+        for status, stated, seconds in cases:
+            answer = TargetResponse(status, ((b'retry-after', stated),), b'')
+            with self.subTest(status=status, stated=stated[:20]):
+                for read in (read_response_metadata, read_health_metadata):
+                    self.assertEqual(
+                        read(answer).pause, timedelta(seconds=seconds)
+                    )
+
     def test_retry_after_has_fractions(self) -> None:
         """Whole seconds would be too long for a deadline of half a second."""
         headers = local_response_headers(b'1', timedelta(milliseconds=250))
--- a/tests/platform_adapter/test_target_limits.py
+++ b/tests/platform_adapter/test_target_limits.py
@@ -33,7 +33,13 @@
         self.fleet = LimitedFleet(
             FleetShape(_VM_COUNT, _TARGETS_PER_REGION),
             platform_header_codec(),
-            HeaderNames(b'x-request-id', b'x-deadline-ms', b'server-limit'),
+            HeaderNames(
+                b'x-request-id',
+                b'x-deadline-ms',
+                b'server-limit',
+                b'server-leaving',
+                b'x-not-executed',
+            ),
         )
         await self.fleet.start(self.stack, folder)
         self.limited = self.fleet.targets[::_TARGETS_PER_REGION]
@@ -58,6 +64,28 @@
                 self.assertGreaterEqual(every_vm, limit * 2)
         self.assertEqual(set(self.fleet.statuses), {200})
 
+    async def test_targets_that_leave_or_want_nothing(self) -> None:
+        """Guards against requests to a target that has said so.
+
+        The list shows neither; VMs restart meanwhile.
+        """
+        leaving, pausing, _other = self.limited
+        await self._send(1)
+        leaving.leave()
+        pausing.turn_away(timedelta(seconds=2.5))
+        await self._send(3)
+        pausing.turn_away(timedelta())
+        for number in (0, 4, 7):
+            await self.fleet.restart(number)
+        await self._send(5)
+        self.assertIsNotNone(leaving.leaving_since)
+        self.assertEqual(leaving.arrivals_after_leaving(_SHARING_TIME), 0)
+        self.assertGreater(len(pausing.pauses), 0)
+        self.assertEqual(pausing.arrivals_in_pauses(), 0)
+        self.assertGreater(
+            sum(at > pausing.pauses[-1][2] for at, _vm in pausing.arrivals), 10
+        )
+
     async def _send(self, seconds: float) -> None:
         await self.fleet.send_requests(
             _REQUESTS_PER_SECOND, timedelta(seconds=seconds)
