--- a/libraries/placement/plantainstand_placement/_eligibility.py
+++ b/libraries/placement/plantainstand_placement/_eligibility.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
+from itertools import islice
 
 from plantainstand_placement._cold import COLD_WINDOW
 from plantainstand_placement._criteria import PlacementCriteria
@@ -28,10 +29,10 @@
         criteria.region,
         criteria.evacuated_availability_zones,
     )
-    possible = [state for state in order if _is_usable(state, criteria, now)]
+    usable = (state for state in order if _is_usable(state, criteria, now))
     return [
         state
-        for state in possible[:MAX_CANDIDATES]
+        for state in islice(usable, MAX_CANDIDATES)
         if not state.is_cold(now)
         and not _is_state_known(state, criteria, now)
         and state.knowledge.is_probe_due(now)
