--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -78,7 +78,6 @@
         active.last_familiarity = choice.familiarity.value
         limit = self._target_limits.known(state.entry)
         active.last_limit = None if limit is None else limit.rate
-        active.last_cold_limit = choice.cold_limit
         active.last_sent_at = started
         active.last_expected_wait = choice.expected_wait
         active.last_expected_run = choice.expected_run
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -29,6 +29,7 @@
     TargetTable,
     TrafficSplitter,
     choose_target,
+    cold_limit,
     ends_before_exit,
     targets_to_probe,
 )
@@ -276,7 +277,10 @@
         unknown = targets_to_probe(criteria, targets, now)
         if unknown:
             inputs.probes.start(active.service, unknown)
-        return choose_target(criteria, targets, estimates)
+        choice = choose_target(criteria, targets, estimates)
+        if isinstance(choice, Choice):
+            active.last_cold_limit = cold_limit(choice.state, criteria, now)
+        return choice
 
     def _cold_share(self, active: ActiveRequest) -> ColdRequestShare:
         policy = self._inputs.desired_view.service_policy(active.service)
--- a/libraries/fleet/plantainstand_fleet/_stated_limits.py
+++ b/libraries/fleet/plantainstand_fleet/_stated_limits.py
@@ -47,16 +47,18 @@
     def __init__(self) -> None:
         """Start without statements."""
         self._known: dict[StatementKey, KnownLimit] = {}
-        self._leaving_since: dict[StatementKey, timedelta] = {}
+        self.leaving_since: dict[StatementKey, timedelta] = {}
+        """Targets that said that they leave, with the time of the first word.
+        Placement asks for each target of each request whether there is any."""
 
     @property
     def leaving_count(self) -> int:
         """Number of targets that said that they leave."""
-        return len(self._leaving_since)
+        return len(self.leaving_since)
 
     def is_leaving(self, key: StatementKey) -> bool:
         """Tell whether a target said that it leaves."""
-        return key in self._leaving_since
+        return key in self.leaving_since
 
     def limit(self, key: StatementKey, now: timedelta) -> KnownLimit | None:
         """Return the limit of a target; None if it has none."""
@@ -78,9 +80,9 @@
             for key, known in self._known.items()
             if not _is_expired(known, now)
         }
-        self._leaving_since = {
+        self.leaving_since = {
             key: since
-            for key, since in self._leaving_since.items()
+            for key, since in self.leaving_since.items()
             if now - since < LEAVING_LIFETIME
         }
         return tuple(each for each in statements if self._merge(each, now))
@@ -105,7 +107,7 @@
                 age_seconds=(now - since).total_seconds(),
                 leaving=True,
             )
-            for (target, started_ms), since in self._leaving_since.items()
+            for (target, started_ms), since in self.leaving_since.items()
         )
         return limits + leaving
 
@@ -114,9 +116,9 @@
             return self._record(statement, now)
         key = (statement.target, statement.started_ms)
         since = now - timedelta(seconds=statement.age_seconds)
-        if key in self._leaving_since or now - since >= LEAVING_LIFETIME:
+        if key in self.leaving_since or now - since >= LEAVING_LIFETIME:
             return False
-        self._leaving_since[key] = since
+        self.leaving_since[key] = since
         return True
 
     def _record(self, statement: LimitStatement, now: timedelta) -> bool:
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -16,7 +16,7 @@
     LongestDurations,
     ends_before_exit,
 )
-from plantainstand_placement._eligibility import targets_to_probe
+from plantainstand_placement._eligibility import cold_limit, targets_to_probe
 from plantainstand_placement._fleet_share import FleetShare
 from plantainstand_placement._pauses import pause_target
 from plantainstand_placement._request_limits import RequestLimits
@@ -54,6 +54,7 @@
     'TargetState',
     'TrafficSplitter',
     'choose_target',
+    'cold_limit',
     'ends_before_exit',
     'pause_target',
     'targets_to_probe',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -26,7 +26,6 @@
 from plantainstand_placement._criteria import PlacementCriteria
 from plantainstand_placement._eligibility import (
     MAX_CANDIDATES,
-    cold_limit,
     is_allowed,
     may_receive,
     pause_left,
@@ -115,9 +114,6 @@
     expected_run: timedelta
     """Estimated time between the queue and the response."""
 
-    cold_limit: int | None = None
-    """Requests in a second that this VM may send to the target, if cold."""
-
     @property
     def expected_duration(self) -> timedelta:
         """Estimated time to the response."""
@@ -200,7 +196,6 @@
         familiarity,
         _expected_wait(state, estimates.mean_run_time, estimates.now),
         estimates.run_times.expected(familiarity),
-        cold_limit(state, criteria, estimates.now),
     )
 
 
--- a/libraries/placement/plantainstand_placement/_cold_knowledge.py
+++ b/libraries/placement/plantainstand_placement/_cold_knowledge.py
@@ -42,14 +42,18 @@
         self._probe_started_at = _NEVER
         self._doubted_at = _NEVER
         self._is_lost = False
+        self._is_doubted = False
 
     def is_known(self, now: timedelta, reading: ListReading) -> bool:
         """Tell whether this VM would know if the target were cold."""
+        if not self._is_doubted and reading.seen_at >= now - LIST_LIFETIME:
+            return True
         if self._is_lost:
             return False
         listed_at = reading.seen_at - reading.lag
         if max(listed_at, self._warm_at) < self._doubted_at:
             return False
+        self._is_doubted = False
         if reading.seen_at >= now - LIST_LIFETIME:
             return True
         return self._warm_at >= now - PROBE_LIFETIME
@@ -61,6 +65,7 @@
     def record_failure(self, now: timedelta) -> None:
         """Record a failed exchange: the target may have ended."""
         self._doubted_at = now
+        self._is_doubted = True
         self._is_lost = True
 
     def record_contact(self, now: timedelta) -> None:
--- a/libraries/placement/plantainstand_placement/_eligibility.py
+++ b/libraries/placement/plantainstand_placement/_eligibility.py
@@ -64,7 +64,10 @@
     entry = state.entry
     if entry.target in criteria.tried_targets:
         return False
-    if now < state.paused_until or criteria.request_limits.is_leaving(entry):
+    if now < state.paused_until:
+        return False
+    limits = criteria.request_limits
+    if limits.stated.leaving_since and limits.is_leaving(entry):
         return False
     if criteria.home_regions and entry.region not in criteria.home_regions:
         return False
