Cold targets: a VM that has just started does not know which are new starts

All senders had restarted within two seconds, held a list under 1 s old and took the target for warm; it had started again under its id, which the list shows 0.8 s later. Other VMs know from failed exchanges; a process that starts has none. Change: what the first list of a VM says of a target counts once a list covers the VM's start, 1.8 s later at most; until then the VM keeps to its part and asks. test_first_list_of_a_vm failed before.

--- a/bench/plantainstand_bench/_limited_target.py
+++ b/bench/plantainstand_bench/_limited_target.py
@@ -189,6 +189,8 @@
 
     def _answer(self, head: bytes) -> bytes:
         now = CLOCK.monotonic()
+        if head.startswith(b'GET /health '):
+            return b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
         vm = int(head.split(b' ', 2)[1].rpartition(b'/')[2])
         self.arrivals.append((now, vm))
         if self._is_held(vm, now):
--- a/libraries/control/plantainstand_control/_sharing.py
+++ b/libraries/control/plantainstand_control/_sharing.py
@@ -20,7 +20,6 @@
 """Time for which a VM has to be counted before it may use its part. By then the
 lease of each VM that has not heard of it has ended."""
 
-
 AGREEMENT_TIME = timedelta(milliseconds=1500)
 """Time for which all VMs have to report that they count the same VMs, so that
 requests sent before with larger parts have left the window of limits."""
--- a/libraries/edge/plantainstand_edge/_target_limits.py
+++ b/libraries/edge/plantainstand_edge/_target_limits.py
@@ -23,12 +23,12 @@
 
 
 class TargetLimits:
-    """Newest limits; passes on what this VM learns from answers."""
+    """Newest statements of all targets; passes on what this VM learns."""
 
     def __init__(
         self, metrics: Metrics, clock: Clock, on_news: Callable[[], None]
     ):
-        """``on_news`` is called when a limit is to be reported at once."""
+        """``on_news`` is called when a statement is to be reported at once."""
         self.stated = StatedLimits()
         self._metrics = metrics
         self._clock = clock
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -162,9 +162,12 @@
             state = TargetState(entry, now)
             # What the target got before its new start was listed counts.
             state.sends = self._sends.setdefault(entry.target, state.sends)
-            # Targets of the first list were running before this VM: warm.
+            # Targets of the first list were running before this VM: warm, if
+            # they have not started again since the list was read.
             if self._first_list_at is not None and self._first_list_at < now:
                 state.cold_until = now + NEW_TARGET_COLD_TIME
+            else:
+                state.knowledge.record_start(now)
         state.entry = entry
         if cold_until is not None:
             state.cold_until = max(state.cold_until, cold_until)
--- a/libraries/placement/plantainstand_placement/_cold_knowledge.py
+++ b/libraries/placement/plantainstand_placement/_cold_knowledge.py
@@ -53,6 +53,7 @@
         listed_at = reading.seen_at - reading.lag
         if max(listed_at, self._warm_at) < self._doubted_at:
             return False
+        # Nothing brings the doubt back but another failure.
         self._is_doubted = False
         if reading.seen_at >= now - LIST_LIFETIME:
             return True
@@ -62,6 +63,13 @@
         """Tell whether the last probe was started long enough ago."""
         return self._probe_started_at <= now - PROBE_INTERVAL
 
+    def record_start(self, now: timedelta) -> None:
+        """Record that this VM has started: it saw none of the failures by which
+        the others know that a target is a new start.
+        """
+        self._doubted_at = now
+        self._is_doubted = True
+
     def record_failure(self, now: timedelta) -> None:
         """Record a failed exchange: the target may have ended."""
         self._doubted_at = now
--- a/libraries/placement/plantainstand_placement/_eligibility.py
+++ b/libraries/placement/plantainstand_placement/_eligibility.py
@@ -42,6 +42,7 @@
 def may_receive(
     state: TargetState, criteria: PlacementCriteria, now: timedelta
 ) -> bool:
+    """Tell whether a target may receive the request now."""
     if not is_allowed(state, criteria, now):
         return False
     return criteria.request_limits.wait(state, now) == timedelta()
@@ -50,6 +51,7 @@
 def is_allowed(
     state: TargetState, criteria: PlacementCriteria, now: timedelta
 ) -> bool:
+    """Tell whether nothing but a stated request limit can be in the way."""
     if not _is_usable(state, criteria, now):
         return False
     limit = cold_limit(state, criteria, now)
@@ -77,6 +79,10 @@
 def cold_limit(
     state: TargetState, criteria: PlacementCriteria, now: timedelta
 ) -> int | None:
+    """Return this VM's requests in a second to a target that may be cold.
+
+    None for a target that is known to be warm.
+    """
     if not state.is_cold(now) and _is_state_known(state, criteria, now):
         return None
     return criteria.cold_share.limit(state.order_seed)
--- a/libraries/placement/plantainstand_placement/_request_limits.py
+++ b/libraries/placement/plantainstand_placement/_request_limits.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """Limits that targets state, and this VM's share of each."""
+    """What targets state of themselves, and this VM's share of each limit."""
 
     region: RegionId
     """Region of this VM."""
--- a/tests/placement/test_board.py
+++ b/tests/placement/test_board.py
@@ -62,6 +62,19 @@
         }
         self.assertEqual(cold, {'a': False, 'b': True})
 
+    def test_first_list_of_a_vm(self) -> None:
+        """Guards a target that started again under its id before this VM did.
+
+        Other VMs know from failures; the list may still show the old start.
+        """
+        lag = timedelta(seconds=0.8)
+        table = TargetTable()
+        table.update(_FIRST, _update(entry('a')), NOW)
+        knowledge = table.states[0].knowledge
+        self.assertFalse(knowledge.is_known(NOW, table.reading(lag)))
+        table.update(_FIRST, _update(entry('a')), NOW + lag)
+        self.assertTrue(knowledge.is_known(NOW + lag, table.reading(lag)))
+
     def test_requests_before_a_new_start_count(self) -> None:
         """Guards against a second share for a target that started again.
 
