--- a/tests/edge/simulated_fleet.py
+++ b/tests/edge/simulated_fleet.py
@@ -96,7 +96,7 @@
 
 
 class SimulatedLink:
-    """One direction pair between two VMs; stands in for both link classes."""
+    """A link between two VMs; stands in for ``OutgoingLink`` and ``Link``."""
 
     def __init__(self, fleet: 'SimulatedFleet', near: VmId, far: VmId):
         """Belongs to ``near``, which opens it."""
