--- a/review/harness.py
+++ b/review/harness.py
@@ -55,9 +55,7 @@
 """Bounds of the small installation trefila-gslb."""
 
 REGIONS = ('bajio', 'norte', 'occidente')
-ZONES = {
-    f'{region}-{letter}': region for letter in 'ab' for region in REGIONS
-}
+ZONES = {f'{region}-{letter}': region for letter in 'ab' for region in REGIONS}
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes of a script."""
@@ -222,8 +220,12 @@
         extra['X-Server-Stamp'] = f'{self.ident}.{ident}'
         self.send(writer, '200 OK', extra, b'whole body of ' + ident.encode())
 
+    def send(self, writer, status, headers, body):
+        """Write an answer."""
+        self.send_plain(writer, status, headers, body)
+
     @staticmethod
-    def send(writer, status, headers, body):
+    def send_plain(writer, status, headers, body):
         """Write an answer with a length."""
         lines = [f'HTTP/1.1 {status}', f'Content-Length: {len(body)}']
         lines.extend(f'{name}: {content}' for name, content in headers.items())
@@ -262,7 +264,7 @@
             while True:
                 await read_head(reader)
                 extra = {'Content-Type': 'application/json'}
-                Backend.send(writer, '200 OK', extra, self.page())
+                Backend.send_plain(writer, '200 OK', extra, self.page())
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -435,10 +437,10 @@
         """All machines."""
         return (*self.controls, *self.entries)
 
-    def add_backend(self, ident, service, zone, **options):
+    def add_backend(self, ident, service, zone, kind=Backend, **options):
         """Add a backend; :meth:`start` or the caller starts it."""
         host = f'{self.net}.{100 + len(self.backends)}'
-        backend = Backend(ident, service, zone, host, self.record, **options)
+        backend = kind(ident, service, zone, host, self.record, **options)
         self.backends.append(backend)
         return backend
 
