--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,7 @@
-"""A backend in need states its limit with all digits of a float."""
+"""An entry that cannot be read stands in the list while a backend leaves."""
 
 import asyncio
 import itertools
-import os
 import sys
 import time
 from contextlib import suppress
@@ -14,38 +13,20 @@
 import harness  # noqa: E402
 
 HOST = 'tienda.example'
-STATED = os.environ.get('STATED', str(20 / 3))
-"""What the backend writes: 6.666666666666667. With STATED=6.667, the same need
-in fewer digits, the rule is kept."""
+UNREADABLE = b'{"service":"pedidos","address":"127.0.0.9:80'
+"""Entry of another writer that was cut short."""
 
-WINDOW_S = 4.0
-FACTOR = 1.5
-SLACK = 5
-NOTICE_S = 0.5
-WATCHED_S = 14.0
-SEND_EVERY_S = 0.02
-
-
-class NeedyBackend(harness.Backend):
-    """A backend that may name a limit in all its answers."""
-
-    stated = None
-
-    def send(self, writer, status, headers, body):
-        """Add the limit to an answer."""
-        if self.stated is not None:
-            headers = {**headers, 'Server-Limit': self.stated}
-        harness.Backend.send_plain(writer, status, headers, body)
+LEAVES_AFTER_S = 2.0
+WATCHED_S = 12.0
+SEND_EVERY_S = 0.05
 
 
 async def play(deployment):
-    """Return whether a backend got more than its limit allows."""
+    """Return whether a leaving backend got requests after ``drainS``."""
     record = deployment.record
-    for number in range(3):
-        deployment.add_backend(
-            f'i-{number}', 'pedidos', 'bajio-a', kind=NeedyBackend
-        )
-    needy = deployment.backends[0]
+    for number in range(2):
+        deployment.add_backend(f'i-{number}', 'pedidos', 'bajio-a')
+    leaving = deployment.backends[0]
     patch = {
         'upsert': {
             'routes': {'r-1': harness.route(HOST, '/p/', 'pedidos', 'r1')},
@@ -55,59 +36,53 @@
         'remove': {'routes': []},
     }
     await deployment.start(patch)
-    sent_to = {}
-    passed_on = {}
-    sending = asyncio.create_task(_send(deployment, sent_to, passed_on))
+    sent_at = {}
+    sending = asyncio.create_task(_send(deployment, sent_at))
+    # The machines are in touch once nothing has happened for a while.
     await asyncio.sleep(harness.BOUNDS['stabilityWindowS'] + 2)
-    stated_from = time.monotonic()
+    if not leaving.ran:
+        raise harness.CaseError('the backend got nothing before')
     if harness.has_trouble():
-        needy.stated = STATED
-        record.note(f'{needy.ident} states Server-Limit: {STATED}')
+        deployment.platform.foreign.append(UNREADABLE)
+        record.note(f'listed by another writer: {UNREADABLE!r}')
+    await asyncio.sleep(LEAVES_AFTER_S)
+    leaving.state = 'draining'
+    shown_at = time.monotonic()
+    record.note(f'the list shows {leaving.ident} as draining')
     await asyncio.sleep(WATCHED_S)
     sending.cancel()
-    if needy.stated is None:
-        return False
-    allowed = FACTOR * float(STATED) * WINDOW_S + SLACK
-    begin = stated_from + harness.BOUNDS['stabilityWindowS']
-    held = [
-        at
-        for at, ident, *_rest in needy.ran
-        if at >= begin and at >= passed_on.get(sent_to[ident], at) + NOTICE_S
-    ]
-    most = max(
-        (sum(at <= each < at + WINDOW_S for each in held) for at in held),
-        default=0,
+    bound = shown_at + harness.BOUNDS['drainS']
+    late = [run for run in leaving.ran if sent_at[run[1]] > bound]
+    record.note(
+        f'{len(late)} requests that were sent later than drainS after that'
+        f' ran at {leaving.ident}'
     )
-    record.note(f'{most} requests in {WINDOW_S} s, {allowed:.1f} allowed')
-    return most > allowed
+    return bool(late)
 
 
-async def _send(deployment, sent_to, passed_on):
-    for number in itertools.count():
+async def _send(deployment, sent_at):
+    numbers = itertools.count()
+    while True:
+        number = next(numbers)
         entry = deployment.entries[number % len(deployment.entries)]
         ident = f'{number:016x}'
-        sent_to[ident] = entry.ip
-        asyncio.create_task(
-            _request(deployment.record, entry, ident, passed_on)
-        )
+        sent_at[ident] = time.monotonic()
+        asyncio.create_task(_request(deployment.record, entry, ident))
         await asyncio.sleep(SEND_EVERY_S)
 
 
-async def _request(record, entry, ident, passed_on):
+async def _request(record, entry, ident):
     headers = {
         'Host': HOST,
         'X-Request-Id': ident,
-        'Cookie': f'X-Affinity-Key={int(ident, 16) // 3 % 40}',
+        'Cookie': f'X-Affinity-Key={int(ident, 16) % 40}',
         'X-Deadline-Ms': '1200',
     }
     record.note(f'sent: {ident} to {entry.front}')
     with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
         answer = await harness.call(entry.front, 'GET', '/p/x', headers)
-        stated = answer.headers.get('server-limit')
-        record.note(f'answered: {ident} {answer.status}, limit {stated}')
-        if stated is not None:
-            passed_on.setdefault(entry.ip, time.monotonic())
+        record.note(f'answered: {ident} {answer.status}')
 
 
 if __name__ == '__main__':
-    sys.exit(harness.run_case(FOLDER, play, entries=3))
+    sys.exit(harness.run_case(FOLDER, play))
