--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,10 @@
-"""Clients offer an upgrade of the protocol, which nobody has to accept."""
+"""One core machine loses its disk, and later, after catchUpS, two others."""
 
 import asyncio
+import json
+import os
 import sys
+import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -10,95 +13,111 @@
 
 import harness  # noqa: E402
 
-HOST = 'tienda.example'
-OFFER = (
-    'Connection: Upgrade, HTTP2-Settings\r\n'
-    'Upgrade: h2c\r\n'
-    'HTTP2-Settings: AAMAAABkAAQAAP__\r\n'
-)
-"""What clients that know HTTP/2 send with the first request of a connection."""
+ADDED_ROUTES = 700
+"""Routes that two ``big_config`` of the site add, 350 each."""
 
-CLIENTS = 10
-BODY = b'{"pieza":"inserto-7","cantidad":12}'
+CHANGES = int(os.environ.get('CHANGES', '400'))
+"""With CHANGES=10, the same losses are borne."""
 
+AT_ONCE = 4
+"""Orders in progress; the pages allow eight."""
 
-class KeepingBackend(harness.Backend):
-    """A backend that keeps the bodies of what it runs."""
-
-    bodies: dict[str, bytes] = {}
-
-    async def _answer(self, writer, first, headers, body):
-        if first.startswith('POST '):
-            self.bodies[headers.get('x-request-id', '')] = body
-        await super()._answer(writer, first, headers, body)
+DOWN_S = 1.0
+READ_BACK_S = 25.0
+"""More than ``recoveryS``."""
 
 
 async def play(deployment):
-    """Return whether a request ran changed or got another one's answer."""
+    """Return whether what was acknowledged cannot be read any more."""
     record = deployment.record
-    for number in range(2):
-        deployment.add_backend(
-            f'i-{number}', 'pedidos', 'bajio-a', kind=KeepingBackend
-        )
-    order = harness.route(
-        HOST,
-        '/p/',
-        'pedidos',
-        'r1',
-        routeType='unsafe',
-        timeoutS=3,
-        maxAttempts=1,
+    deployment.add_backend('i-0', 'pedidos', 'bajio-a')
+    await deployment.start(
+        {
+            'upsert': {
+                'routes': _routes(1),
+                'services': {'pedidos': harness.service('r1')},
+                'limits': harness.LIMITS,
+            },
+            'remove': {'routes': []},
+        }
     )
-    patch = {
-        'upsert': {
-            'routes': {'r-1': order},
-            'services': {'pedidos': harness.service('r1')},
-            'limits': harness.LIMITS,
-        },
-        'remove': {'routes': []},
+    began = time.monotonic()
+    leader = await _find_leader(deployment)
+    versions = iter(range(2, 2 + CHANGES))
+    await asyncio.gather(
+        *(_change(deployment, leader, versions) for _turn in range(AT_ONCE))
+    )
+    took = time.monotonic() - began
+    record.note(f'{CHANGES} changes acknowledged in {took:.0f} s')
+    await asyncio.sleep(harness.BOUNDS['stabilityWindowS'])
+    if harness.has_trouble():
+        others = [each for each in deployment.controls if each is not leader]
+        await _lose_disks(record, others[2:3])
+        # The machine counts as lost for this long after it is back.
+        await asyncio.sleep(harness.BOUNDS['catchUpS'] + 0.5)
+        await _lose_disks(record, others[:2])
+    return not await _is_kept(deployment)
+
+
+async def _lose_disks(record, machines):
+    for machine in machines:
+        machine.end()
+        machine.wipe()
+        record.note(f'{machine.ip} was killed and lost its disk')
+    await asyncio.sleep(DOWN_S)
+    for machine in machines:
+        machine.start()
+        record.note(f'{machine.ip} is back with an empty disk')
+
+
+def _routes(version):
+    return {
+        f'r-x{number}': harness.route(
+            f'tienda{number}.example',
+            f'/catalogo{number}/',
+            'pedidos',
+            f'r{version}',
+            timeoutS=1 + version / 1000,
+        )
+        for number in range(ADDED_ROUTES)
     }
-    await deployment.start(patch)
-    await asyncio.sleep(harness.BOUNDS['stabilityWindowS'] + 2)
-    foreign = []
-    for number in range(CLIENTS):
-        entry = deployment.entries[number % len(deployment.entries)]
+
+
+async def _find_leader(deployment):
+    """Return the machine that answers the operator itself."""
+    for machine in deployment.controls:
         with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-            await _use_connection(record, entry, number, foreign)
-    changed = [
-        ident for ident, body in KeepingBackend.bodies.items() if body != BODY
-    ]
-    for ident in changed:
-        record.note(f'changed: {ident} ran with another body than was sent')
-    record.note(
-        f'{len(changed)} requests ran with another body; {len(foreign)}'
-        ' requests got an answer without having been read'
-    )
-    return bool(changed or foreign)
-
-
-async def _use_connection(record, entry, number, foreign):
-    """Send two orders, one after the other, on one connection."""
-    reader, writer = await asyncio.open_connection(entry.ip, harness.FRONT_PORT)
-    try:
-        for turn in range(2):
-            ident = f'{number:08x}{turn:08x}'
-            offer = OFFER if harness.has_trouble() and not turn else ''
-            writer.write(
-                f'POST /p/x HTTP/1.1\r\nHost: {HOST}\r\n'
-                f'X-Request-Id: {ident}\r\nX-Deadline-Ms: 3000\r\n'
-                f'{offer}Content-Length: {len(BODY)}\r\n\r\n'.encode()
-                + BODY
-            )
-            record.note(f'sent: {ident}, {len(BODY)} bytes, offer: {offer!r}')
-            async with asyncio.timeout(4):
-                first, headers = await harness.read_head(reader)
-                await harness.read_body(reader, headers)
-            record.note(f'answered: {ident} {first} {headers}')
-            if headers.get('x-request-id') != ident:
-                foreign.append(ident)
-    finally:
-        writer.close()
+            answer = await harness.call(machine.control, 'GET', '/config/get')
+            if answer.status == 200:
+                return machine
+    raise harness.CaseError('no control machine answers')
+
+
+async def _change(deployment, leader, versions):
+    for version in versions:
+        changed = {'upsert': {'routes': _routes(version)}}
+        answer = await deployment.order(
+            '/config/patch', changed, 60, first=leader
+        )
+        if answer.status != 200:
+            raise harness.CaseError(f'status {answer.status} for a change')
+
+
+async def _is_kept(deployment):
+    """Read back as the operator does, until the newest version is there."""
+    end = time.monotonic() + READ_BACK_S
+    while time.monotonic() < end:
+        with suppress(harness.CaseError):
+            answer = await deployment.order('/config/get', None, 2)
+            routes = json.loads(answer.body)['routes']
+            held = {each['version'] for each in routes.values()}
+            deployment.record.note(f'read back: versions {held}')
+            if answer.status == 200 and held == {f'r{1 + CHANGES}'}:
+                return True
+        await asyncio.sleep(0.3)
+    deployment.record.note(f'nothing could be read back in {READ_BACK_S} s')
+    return False
 
 
 if __name__ == '__main__':
-    sys.exit(harness.run_case(FOLDER, play))
+    sys.exit(harness.run_case(FOLDER, play, controls=6, entries=1))
