--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import subprocess
 import sys
 import time
@@ -13,6 +14,9 @@
 
 import harness  # noqa: E402
 
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+"""Whether the disruption is played; TROUBLE=0 leaves it out."""
+
 HOST = 'tienda.example'
 TIMEOUT_S = 1.2
 LATE_S = 0.5
@@ -69,7 +73,7 @@
     await deployment.start(patch)
     entry = deployment.entries[0]
     await asyncio.sleep(harness.BOUNDS['stabilityWindowS'] + 2)
-    mode = 'endless' if harness.has_trouble() else 'sound'
+    mode = 'endless' if HAS_TROUBLE else 'sound'
     other.stdin.write(f'{entry.ip} {mode}\n'.encode())
     other.stdin.flush()
     record.note(f'{CALLERS} clients ask i-9 of catalogo, which is {mode}')
