Log: what is sent, kept and queued is limited by bytes

Cause: all limits of the log counted entries.

messages are dropped while a link has more than 1 MiB unsent, since the log repeats them. Subscribers and applied batches are limited by bytes too, and so are the calls of plantainstandd's voters, which gRPC limits to 4 MiB.

The simulated replicas of test_replica.py moved to a module of their own, with links of a given bandwidth; their tests are unchanged.

--- a/libraries/consensus/plantainstand_consensus/__init__.py
+++ b/libraries/consensus/plantainstand_consensus/__init__.py
@@ -27,6 +27,7 @@
     StateMachine,
     Transport,
 )
+from plantainstand_consensus._limits import LogLimits, limits_for
 from plantainstand_consensus._log import Log
 from plantainstand_consensus._messages import (
     Message,
@@ -43,6 +44,7 @@
     Stopped,
     StorageFailed,
     TimedOut,
+    TooLong,
 )
 from plantainstand_consensus._replica import LogReplica
 from plantainstand_consensus._state import (
@@ -65,6 +67,7 @@
     'HardState',
     'InvariantError',
     'Log',
+    'LogLimits',
     'LogReplica',
     'Message',
     'MessageProblem',
@@ -84,6 +87,7 @@
     'StorageFailed',
     'Subscription',
     'TimedOut',
+    'TooLong',
     'Transport',
     'TruncateEntries',
     'VoterStorage',
@@ -94,5 +98,6 @@
     'decode_message',
     'encode_message',
     'format_voter',
+    'limits_for',
     'open_voter',
 )
--- a/libraries/consensus/plantainstand_consensus/_applying.py
+++ b/libraries/consensus/plantainstand_consensus/_applying.py
@@ -53,15 +53,26 @@
         self._pending_calls.complete_proposal(entry, outcome, replaced)
 
     def _compact_if_due(self) -> bool:
-        state = self._core.state
-        snapshot_index = state.log.snapshot.index if state.log.snapshot else 0
-        if (
-            state.delivered_index - snapshot_index
-            < self._options.snapshot_interval_entries
-        ):
+        if not self._is_snapshot_due():
             return False
         self._core.compact(
             self._state_machine.snapshot(),
             self._options.retained_entries,
         )
         return True
+
+    def _is_snapshot_due(self) -> bool:
+        state = self._core.state
+        log = state.log
+        snapshot_index = log.snapshot.index if log.snapshot else 0
+        snapshot_bytes = len(log.snapshot.payload) if log.snapshot else 0
+        # A disk that hangs must not collect one snapshot after the other.
+        if state.outbox.durable_index < state.delivered_index:
+            return False
+        applied_bytes = log.size_between(snapshot_index, state.delivered_index)
+        return (
+            state.delivered_index - snapshot_index
+            >= self._options.snapshot_interval_entries
+            or applied_bytes
+            >= max(self._options.limits.snapshot_interval_bytes, snapshot_bytes)
+        )
--- a/libraries/consensus/plantainstand_consensus/_core.py
+++ b/libraries/consensus/plantainstand_consensus/_core.py
@@ -11,6 +11,7 @@
 from plantainstand_consensus._election import Election
 from plantainstand_consensus._entries import (
     Body,
+    Command,
     Configuration,
     HardState,
     Node,
@@ -19,6 +20,7 @@
 from plantainstand_consensus._following import Following
 from plantainstand_consensus._joining import Joining
 from plantainstand_consensus._leading import Leadership
+from plantainstand_consensus._limits import LogLimits
 from plantainstand_consensus._log import Log
 from plantainstand_consensus._messages import (
     AppendReply,
@@ -36,12 +38,16 @@
     NotLeader,
     Overloaded,
     ProposeProblem,
+    TooLong,
 )
 from plantainstand_consensus._state import CoreState, Role
 
 MAX_COMMITTED_PER_BATCH = 512
 """Limits the time for which the state machine delays heartbeats."""
 
+MAX_COMMITTED_BYTES_PER_BATCH = 1024 * 1024
+"""Limits the same for long commands; one is always applied."""
+
 MAX_UNCOMMITTED_ENTRIES = 16384
 """Limits the leader's memory while a majority is slow or unreachable."""
 
@@ -63,6 +69,7 @@
         founding_members: Sequence[VmId],
         random_source: random.Random,
         now: timedelta,
+        limits: LogLimits | None = None,
     ):
         """Continue from the stored log, term and vote.
 
@@ -77,6 +84,7 @@
             random_source=random_source,
             hard_state=hard_state,
             now=now,
+            limits=limits or LogLimits(),
             commit_index=snapshot_index,
             delivered_index=snapshot_index,
         )
@@ -133,9 +141,9 @@
         leadership = self.leadership
         if leadership is None or not leadership.accepts_requests:
             return Err(NotLeader(self._leader_hint()))
-        uncommitted = self._state.log.last_index - self._state.commit_index
-        if uncommitted >= MAX_UNCOMMITTED_ENTRIES:
-            return Err(Overloaded())
+        problem = self._size_problem(body)
+        if problem is not None:
+            return Err(problem)
         return Ok(leadership.append(body))
 
     def change_members(
@@ -173,8 +181,8 @@
         """Store a snapshot of the state machine and compact the log.
 
         ``payload`` includes all entries that were returned to be applied.
-        ``retained`` entries before the snapshot are kept for replicas that are
-        slightly behind.
+        Up to ``retained`` entries before the snapshot are kept for replicas
+        that are slightly behind, within the limit on their bytes.
         """
         state = self._state
         index = state.delivered_index
@@ -187,7 +195,9 @@
             state.log.configuration_at(index),
             payload,
         )
-        base_index = max(state.log.base_index, index - retained)
+        base_index = state.log.first_kept(
+            index, retained, state.limits.retained_bytes
+        )
         state.log.compact(snapshot, base_index)
         state.outbox.write(
             WriteSnapshot(snapshot, base_index, replaces_log=False),
@@ -207,10 +217,27 @@
             effects.committed = state.log.entries(
                 first,
                 min(count, MAX_COMMITTED_PER_BATCH),
+                MAX_COMMITTED_BYTES_PER_BATCH,
             )
             state.delivered_index += len(effects.committed)
         return effects
 
+    def _size_problem(self, body: Body) -> Overloaded | TooLong | None:
+        state = self._state
+        log = state.log
+        limit = state.limits.entry_bytes
+        if isinstance(body, Command) and len(body.payload) > limit:
+            return TooLong(len(body.payload), limit)
+        # While the own disk hangs, other voters may commit without it.
+        settled = min(state.commit_index, state.outbox.durable_index)
+        waiting_bytes = log.size_between(settled, log.last_index)
+        if (
+            log.last_index - settled >= MAX_UNCOMMITTED_ENTRIES
+            or waiting_bytes > state.limits.uncommitted_bytes
+        ):
+            return Overloaded()
+        return None
+
     def _start_leadership(self) -> None:
         if self._state.role == Role.LEADER and self._has_new_term():
             self._leadership = Leadership(self._state)
--- a/libraries/consensus/plantainstand_consensus/_entries.py
+++ b/libraries/consensus/plantainstand_consensus/_entries.py
@@ -5,7 +5,8 @@
 import msgspec
 from plantainstand_core import DiskId, VmId
 
-_FIELD_SIZE = 16
+ENTRY_OVERHEAD_BYTES = 256
+"""Memory that an entry takes besides its payload."""
 
 
 class Node(
@@ -95,10 +96,10 @@
 
     @property
     def size(self) -> int:
-        """Approximate encoded size in bytes."""
+        """Approximate memory in bytes; its encoded form is shorter."""
         if isinstance(self.body, Command):
-            return len(self.body.payload) + _FIELD_SIZE
-        return _FIELD_SIZE
+            return len(self.body.payload) + ENTRY_OVERHEAD_BYTES
+        return ENTRY_OVERHEAD_BYTES
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
--- a/libraries/consensus/plantainstand_consensus/_interfaces.py
+++ b/libraries/consensus/plantainstand_consensus/_interfaces.py
@@ -16,6 +16,7 @@
 from plantainstand_storage import StorageProblem
 
 from plantainstand_consensus._entries import Node
+from plantainstand_consensus._limits import LogLimits
 from plantainstand_consensus._messages import Message
 from plantainstand_consensus._state import Role
 
@@ -67,6 +68,9 @@
     retained_entries: int = 2_000
     """Entries before a snapshot that are kept for replicas slightly behind."""
 
+    limits: LogLimits = LogLimits()
+    """Limits on the bytes of the log, which hold beside those on entries."""
+
     run_blocking: RunBlocking = run_in_thread
     """Runs file operations and waits for their end."""
 
@@ -108,6 +112,12 @@
     """Whether all founding members have been voters. Proposals and reads are
     refused until then."""
 
+    log_bytes: int
+    """Entries in memory, in bytes as counted by ``Entry.size``."""
+
+    snapshot_bytes: int
+    """Length of the newest snapshot; 0 without one."""
+
     members: tuple[VmId, ...]
     """VMs that are to be voters."""
 
--- a/libraries/consensus/plantainstand_consensus/_log.py
+++ b/libraries/consensus/plantainstand_consensus/_log.py
@@ -1,6 +1,8 @@
 """In-memory log from the last compaction on."""
 
+from bisect import bisect_left
 from collections.abc import Sequence
+from itertools import accumulate
 
 from plantainstand_consensus._entries import Configuration, Entry, Snapshot
 
@@ -24,6 +26,9 @@
         self.base_index = 0
         self.base_term = 0
         self._entries = list(entries)
+        # Bytes of all entries through each entry, counted from any start.
+        self._totals = list(accumulate(entry.size for entry in entries))
+        self._base_total = 0
         self._configurations: list[tuple[int, Configuration]] = []
         if snapshot is not None:
             self._configurations.append(
@@ -76,6 +81,22 @@
             return self._entries[index - self.base_index - 1].term
         return None
 
+    def size_between(self, after: int, through: int) -> int:
+        """Return the bytes of the entries after one index through another.
+
+        Compacted entries are not counted.
+        """
+        return max(self._total_at(through) - self._total_at(after), 0)
+
+    def first_kept(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the index after which entries through ``index`` fit both."""
+        oldest = max(self.base_index, index - max_entries)
+        start = self._total_at(index) - max_bytes
+        position = bisect_left(self._totals, start)
+        if start <= self._base_total:
+            return oldest
+        return min(max(oldest, self.base_index + position + 1), index)
+
     def entries(
         self,
         first: int,
@@ -99,13 +120,18 @@
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries that directly follow the newest one."""
-        self._entries.extend(entries)
+        total = self._total_at(self.last_index)
         for entry in entries:
+            total += entry.size
+            self._entries.append(entry)
+            self._totals.append(total)
             self._record_configuration(entry)
 
     def truncate_from(self, index: int) -> None:
         """Remove the entries from ``index`` on, and the voter sets in them."""
-        self._entries = self._entries[: index - self.base_index - 1]
+        kept = index - self.base_index - 1
+        self._entries = self._entries[:kept]
+        self._totals = self._totals[:kept]
         self._configurations = [
             recorded for recorded in self._configurations if recorded[0] < index
         ]
@@ -114,7 +140,10 @@
         """Replace the snapshot and remove entries through ``base_index``."""
         term = self.term_at(base_index)
         if term is not None:
-            self._entries = self._entries[base_index - self.base_index :]
+            removed = base_index - self.base_index
+            self._base_total = self._total_at(base_index)
+            self._entries = self._entries[removed:]
+            self._totals = self._totals[removed:]
             self.base_index = base_index
             self.base_term = term
         self.snapshot = snapshot
@@ -125,6 +154,8 @@
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self._entries = []
+        self._totals = []
+        self._base_total = 0
         self._configurations = [(snapshot.index, snapshot.configuration)]
 
     def _start_at_first_entry(self) -> None:
@@ -138,6 +169,11 @@
         self.base_index = first.index
         self.base_term = first.term
         self._entries.pop(0)
+        self._base_total = self._totals.pop(0)
+
+    def _total_at(self, index: int) -> int:
+        position = min(index - self.base_index, len(self._totals))
+        return self._totals[position - 1] if position > 0 else self._base_total
 
     def _record_configuration(self, entry: Entry) -> None:
         if isinstance(entry.body, Configuration):
--- a/libraries/consensus/plantainstand_consensus/_problems.py
+++ b/libraries/consensus/plantainstand_consensus/_problems.py
@@ -19,6 +19,15 @@
     """Too many entries are uncommitted; the proposal is not in the log."""
 
 
+@dataclass(frozen=True)
+class TooLong:
+    """The command exceeds the longest entry; it is not in the log."""
+
+    length: int
+    limit: int
+    """Both in bytes."""
+
+
 @dataclass(frozen=True)
 class ChangePending:
     """A voter change is still uncommitted; the proposal is not in the log."""
@@ -43,5 +52,11 @@
 
 
 ProposeProblem = (
-    NotLeader | Overloaded | ChangePending | TimedOut | Stopped | StorageFailed
+    NotLeader
+    | Overloaded
+    | TooLong
+    | ChangePending
+    | TimedOut
+    | Stopped
+    | StorageFailed
 )
--- a/libraries/consensus/plantainstand_consensus/_progress.py
+++ b/libraries/consensus/plantainstand_consensus/_progress.py
@@ -36,6 +36,9 @@
     snapshot_offset: int = 0
     """Number of bytes of the snapshot that have arrived."""
 
+    snapshot_sent: int = 0
+    """Number of bytes of the snapshot that were sent."""
+
     def record_contact(self, sent_at: timedelta, round_number: int) -> None:
         """Record the answer to a message sent at ``sent_at``."""
         if self.last_contact is None or sent_at > self.last_contact:
--- a/libraries/consensus/plantainstand_consensus/_replica.py
+++ b/libraries/consensus/plantainstand_consensus/_replica.py
@@ -64,6 +64,7 @@
             founding_members=storage.identity.founding_members,
             random_source=options.random_source,
             now=options.clock.monotonic(),
+            limits=options.limits,
         )
         self._writer = Writer(storage, options.run_blocking)
         self._pending_calls = PendingCalls()
--- a/libraries/consensus/plantainstand_consensus/_replication.py
+++ b/libraries/consensus/plantainstand_consensus/_replication.py
@@ -19,10 +19,15 @@
 """Far below the limit of gRPC for a message, 4 MiB."""
 
 MAX_UNACKNOWLEDGED_ENTRIES = 4096
-"""Limits the entries in the leader's send queue for a slow replica."""
+"""Limits the entries in the leader's send queue for a slow replica, beside the
+limit on their bytes."""
 
 SNAPSHOT_CHUNK_BYTES = 131_072
 
+MAX_UNACKNOWLEDGED_CHUNKS = 8
+"""Chunks sent to one replica without an answer: 1 MiB, so 10 MiB per second at
+a round trip of 100 ms."""
+
 
 class Replication:
     """Sends entries, heartbeats and snapshot chunks of a leader."""
@@ -35,8 +40,7 @@
 
     def send_new(self, progress: Progress) -> None:
         """Send entries that were not sent yet, within the window."""
-        last_index = self._state.log.last_index
-        while progress.can_send(last_index, MAX_UNACKNOWLEDGED_ENTRIES):
+        while self._may_send(progress):
             if not self._send_entries(progress, MAX_ENTRIES_PER_MESSAGE):
                 return
 
@@ -46,6 +50,8 @@
             max_entries = MAX_ENTRIES_PER_MESSAGE if progress.probing else 0
             self._send_entries(progress, max_entries)
         else:
+            # Only the first missing chunk: the others may still be on the way.
+            progress.snapshot_sent = progress.snapshot_offset
             self._send_chunk(progress, progress.snapshot)
 
     def on_append_reply(self, progress: Progress, reply: AppendReply) -> None:
@@ -62,14 +68,33 @@
         progress: Progress,
         reply: SnapshotReply,
     ) -> None:
-        """Send the next chunk of the snapshot."""
+        """Send the next chunks of the snapshot, within the window."""
         snapshot = progress.snapshot
         if snapshot is None or snapshot.index != reply.index:
             return
-        if reply.received != progress.snapshot_offset:
-            progress.snapshot_offset = reply.received
+        if reply.received == progress.snapshot_offset:
+            return
+        # A replica that has started again has received less than before.
+        is_behind = reply.received < progress.snapshot_offset
+        progress.snapshot_offset = reply.received
+        if is_behind or progress.snapshot_sent < reply.received:
+            progress.snapshot_sent = reply.received
+        window_end = min(
+            reply.received + MAX_UNACKNOWLEDGED_CHUNKS * SNAPSHOT_CHUNK_BYTES,
+            len(snapshot.payload),
+        )
+        while progress.snapshot_sent < window_end:
             self._send_chunk(progress, snapshot)
 
+    def _may_send(self, progress: Progress) -> bool:
+        log = self._state.log
+        if not progress.can_send(log.last_index, MAX_UNACKNOWLEDGED_ENTRIES):
+            return False
+        last_sent = progress.next_index - 1
+        unacknowledged_bytes = log.size_between(progress.match_index, last_sent)
+        limit = self._state.limits.unacknowledged_bytes
+        return progress.probing or unacknowledged_bytes < limit
+
     def _send_entries(self, progress: Progress, max_entries: int) -> bool:
         log = self._state.log
         previous_index = progress.next_index - 1
@@ -102,10 +127,11 @@
         if snapshot is not None:
             progress.snapshot = snapshot
             progress.snapshot_offset = 0
+            progress.snapshot_sent = 0
             self._send_chunk(progress, snapshot)
 
     def _send_chunk(self, progress: Progress, snapshot: Snapshot) -> None:
-        start = progress.snapshot_offset
+        start = progress.snapshot_sent
         chunk = SnapshotChunk(
             source_disk=self._state.node.disk,
             destination_disk=progress.node.disk,
@@ -119,4 +145,5 @@
             sent_at_us=self._state.now // MICROSECOND,
             round_number=self.round_number,
         )
+        progress.snapshot_sent = start + len(chunk.part)
         self._state.outbox.send(progress.node.vm, chunk)
--- a/libraries/consensus/plantainstand_consensus/_state.py
+++ b/libraries/consensus/plantainstand_consensus/_state.py
@@ -9,6 +9,7 @@
 
 from plantainstand_consensus._effects import Outbox, WriteHardState
 from plantainstand_consensus._entries import HardState, Node
+from plantainstand_consensus._limits import LogLimits
 from plantainstand_consensus._log import Log
 
 HEARTBEAT_INTERVAL = timedelta(milliseconds=100)
@@ -50,6 +51,7 @@
     random_source: random.Random
     hard_state: HardState
     now: timedelta
+    limits: LogLimits = LogLimits()
     commit_index: int = 0
     delivered_index: int = 0
     """Last entry that was returned as an effect, to be applied."""
--- a/libraries/consensus/plantainstand_consensus/_status.py
+++ b/libraries/consensus/plantainstand_consensus/_status.py
@@ -22,6 +22,7 @@
     leadership = core.leadership
     configuration = state.log.configuration
     has_contact = leadership is not None and leadership.has_quorum_contact(now)
+    snapshot = state.log.snapshot
     is_learner = leadership is None and not state.is_voter
     return ReplicaStatus(
         node=state.node,
@@ -35,6 +36,10 @@
         has_leader_contact=running
         and (has_contact or _hears_leader(core, now)),
         formed=configuration.formed,
+        log_bytes=state.log.size_between(
+            state.log.base_index, state.log.last_index
+        ),
+        snapshot_bytes=len(snapshot.payload) if snapshot else 0,
         members=configuration.members,
         voters=configuration.voters,
         problem=problem,
--- a/libraries/consensus/plantainstand_consensus/_subscription.py
+++ b/libraries/consensus/plantainstand_consensus/_subscription.py
@@ -14,6 +14,7 @@
 from plantainstand_consensus._waiting import Notifier
 
 _MAX_ENTRIES_PER_ITEM = 512
+_MAX_BYTES_PER_ITEM = 1024 * 1024
 
 
 class Subscription(AsyncIterator[SnapshotItem | EntriesItem]):
@@ -50,6 +51,7 @@
         entries = log.entries(
             self._position + 1,
             min(count, _MAX_ENTRIES_PER_ITEM),
+            _MAX_BYTES_PER_ITEM,
         )
         self._position += len(entries)
         commands = tuple(_commands(entries))
--- a/libraries/control/plantainstand_control/_peers.py
+++ b/libraries/control/plantainstand_control/_peers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
+import structlog
 from plantainstand_consensus import Message, encode_message
 from plantainstand_core import Clock, VmId
 from plantainstand_fleet import (
@@ -18,6 +19,11 @@
 
 from plantainstand_control._settings import ControlSettings
 
+_log = structlog.get_logger()
+
+MAX_UNSENT_LOG_BYTES = 1024 * 1024
+"""Unread bytes on a link above which messages of the log are dropped."""
+
 PEER_RETENTION = timedelta(seconds=30)
 """Time for which connections to a control VM are attempted after any control
 VM last had a message from it."""
@@ -56,6 +62,7 @@
         self._last_message_at: dict[VmId, timedelta] = {}
         self._last_known_live_at: dict[VmId, timedelta] = {}
         self._control_vms: dict[VmId, ControlVm] = {}
+        self._backlogs: set[VmId] = set()
 
     @property
     def peer_ids(self) -> tuple[VmId, ...]:
@@ -134,9 +141,16 @@
     def send(self, destination: VmId, message: Message) -> None:
         """See ``Transport.send`` of the replicated log."""
         link = self._links.get(destination)
-        if link is not None:
-            payload = ReplicaMessage(encode_message(message))
-            link.send(encode_fleet_message(payload))
+        if link is None:
+            return
+        if link.unsent_bytes > MAX_UNSENT_LOG_BYTES:
+            # The log repeats what is lost. To queue its repeats would cost
+            # memory, and in the end the connection with all that is on it.
+            self._record_backlog(destination, link.unsent_bytes)
+            return
+        self._backlogs.discard(destination)
+        payload = ReplicaMessage(encode_message(message))
+        link.send(encode_fleet_message(payload))
 
     def broadcast(self, message: FleetMessage) -> None:
         """Send a message to all other control VMs."""
@@ -149,6 +163,20 @@
         for task in self._tasks.values():
             task.cancel()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes on all links that the other control VMs have yet to read."""
+        return sum(link.unsent_bytes for link in self._links.values())
+
+    def _record_backlog(self, destination: VmId, unsent_bytes: int) -> None:
+        if destination not in self._backlogs:
+            self._backlogs.add(destination)
+            _log.warning(
+                'log messages dropped until the peer reads',
+                peer=destination,
+                unsent_bytes=unsent_bytes,
+            )
+
     def _connect(self, vm: VmId) -> None:
         events = LinkCallbacks(
             opened=self._send_initial_messages,
--- a/libraries/control/plantainstand_control/_replica.py
+++ b/libraries/control/plantainstand_control/_replica.py
@@ -6,6 +6,7 @@
 
 import structlog
 from plantainstand_consensus import (
+    LogLimits,
     LogReplica,
     ReplicaOptions,
     ReplicaStatus,
@@ -13,6 +14,7 @@
     Transport,
     VoterStorage,
     format_voter,
+    limits_for,
     open_voter,
 )
 from plantainstand_core import VmId
@@ -50,6 +52,12 @@
         self._transport = transport
         self._replica: LogReplica | None = None
         self._logged_description = ''
+        self._limits = limits_for(settings.memory_bytes, settings.disk_bytes)
+
+    @property
+    def limits(self) -> LogLimits:
+        """Limits on the bytes of the log."""
+        return self._limits
 
     @property
     def replica(self) -> LogReplica | None:
@@ -113,6 +121,7 @@
                 peers=self._settings.seeds,
                 snapshot_interval_entries=2_000,
                 retained_entries=500,
+                limits=self._limits,
             ),
         )
         self._replica = replica
--- a/libraries/control/plantainstand_control/_settings.py
+++ b/libraries/control/plantainstand_control/_settings.py
@@ -32,3 +32,9 @@
 
     list_calls_per_second: float
     """Limit on calls to the platform's list, for all VMs together."""
+
+    memory_bytes: int = 256_000_000
+    """Memory that the process may take."""
+
+    disk_bytes: int = 256_000_000
+    """Disk that the data folder may take."""
--- a/libraries/daemon/plantainstand_daemon/_control_messages.py
+++ b/libraries/daemon/plantainstand_daemon/_control_messages.py
@@ -9,6 +9,7 @@
     ProposeProblem,
     Stopped,
     StorageFailed,
+    TooLong,
 )
 from plantainstand_core import Incarnation, LogIndex, ResourceId, VmId
 from plantainstand_protocol.steering_pb2 import (
@@ -75,8 +76,9 @@
 ) -> 'ProposeResult.Status.ValueType':
     """Return the status for a proposal that has no outcome."""
     match problem:
-        # Like a follower, an overloaded leader has not appended the command.
-        case NotLeader() | Overloaded():
+        # Like a follower, an overloaded leader has not appended the command,
+        # and no leader appends one that is too long.
+        case NotLeader() | Overloaded() | TooLong():
             return ProposeResult.NOT_LEADER
         case Stopped():
             return ProposeResult.STOPPED
--- a/libraries/daemon/plantainstand_daemon/_voter.py
+++ b/libraries/daemon/plantainstand_daemon/_voter.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from plantainstand_consensus import (
+    LogLimits,
     LogReplica,
     Message,
     ReplicaOptions,
@@ -28,6 +29,12 @@
 # messages are dropped; the consensus protocol resends them.
 _MAX_CONCURRENT_CALLS = 64
 _MAX_WAITING_MESSAGES = 256
+_MAX_WAITING_BYTES = 2_097_152
+_MAX_CALL_BYTES = 8_388_608
+MAX_COMMAND_BYTES = 1_048_576
+"""Longest command: with the messages that wait before it, it must fit into one
+call, which gRPC limits to 4 MiB."""
+
 # Messages of this interval are sent in one call, because each call costs a
 # voter about a millisecond of processor time.
 _BATCH_WINDOW_SECONDS = 0.002
@@ -68,13 +75,19 @@
         self._endpoint = endpoint
         self._channels = channels
         self._waiting: list[bytes] = []
+        self._waiting_bytes = 0
         self._calls: set[asyncio.Task[None]] = set()
+        self._call_bytes = 0
         self._is_flush_scheduled = False
 
     def send(self, payload: bytes) -> None:
-        if len(self._waiting) >= _MAX_WAITING_MESSAGES:
+        if (
+            len(self._waiting) >= _MAX_WAITING_MESSAGES
+            or self._waiting_bytes > _MAX_WAITING_BYTES
+        ):
             return
         self._waiting.append(payload)
+        self._waiting_bytes += len(payload)
         if not self._is_flush_scheduled:
             self._is_flush_scheduled = True
             asyncio.get_running_loop().call_later(
@@ -85,12 +98,22 @@
         self._is_flush_scheduled = False
         payloads = self._waiting
         self._waiting = []
-        if len(self._calls) >= _MAX_CONCURRENT_CALLS:
+        size = self._waiting_bytes
+        self._waiting_bytes = 0
+        if (
+            len(self._calls) >= _MAX_CONCURRENT_CALLS
+            or self._call_bytes > _MAX_CALL_BYTES
+        ):
             return
+        self._call_bytes += size
         envelope = ConsensusEnvelope(source=self._own, payloads=payloads)
         task = asyncio.ensure_future(self._deliver(envelope))
         self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        task.add_done_callback(lambda done: self._end_call(done, size))
+
+    def _end_call(self, call: 'asyncio.Task[None]', size: int) -> None:
+        self._calls.discard(call)
+        self._call_bytes -= size
 
     async def _deliver(self, envelope: ConsensusEnvelope) -> None:
         # A failed call is ignored: the consensus protocol resends messages.
@@ -123,6 +146,7 @@
                 peers=tuple(endpoints),
                 clock=instruments.clock,
                 random_source=instruments.random_source,
+                limits=LogLimits(entry_bytes=MAX_COMMAND_BYTES),
             ),
         ),
     )
--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -19,6 +19,10 @@
 not read cannot exhaust the memory of this process."""
 
 
+def _ignore(_link: 'Link') -> None:
+    """Do nothing with an event."""
+
+
 @dataclass(frozen=True)
 class LinkTimings:
     """Intervals and timeouts of a link."""
@@ -49,6 +53,9 @@
     closed: Callable[['Link'], None]
     """Called when the connection is closed or lost."""
 
+    writable: Callable[['Link'], None] = _ignore
+    """Called when the link is no longer congested."""
+
 
 class Link(asyncio.Protocol):
     """Connection that carries length-prefixed frames in both directions."""
@@ -63,6 +70,7 @@
         self._last_received_at = clock.monotonic()
         self._last_sent_at = clock.monotonic()
         self._timer: asyncio.TimerHandle | None = None
+        self._is_congested = False
         self.closed = asyncio.get_running_loop().create_future()
 
     @property
@@ -71,6 +79,20 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether the peer has yet to read what was sent to it.
+
+        ``LinkCallbacks.writable`` is called when this ends.
+        """
+        return self._is_congested
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait until the peer reads."""
+        transport = self._transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     @property
     def heard_at(self) -> timedelta:
         """Monotonic time at which the last bytes arrived."""
@@ -110,6 +132,15 @@
                 self._events.received(self, frame)
             frame = self._next_frame()
 
+    def pause_writing(self) -> None:
+        """See :class:`asyncio.Protocol`."""
+        self._is_congested = True
+
+    def resume_writing(self) -> None:
+        """See :class:`asyncio.Protocol`."""
+        self._is_congested = False
+        self._events.writable(self)
+
     def send(self, frame: bytes) -> None:
         """Send a frame; drop it if the link is closed."""
         transport = self._transport
--- a/libraries/links/plantainstand_links/_outgoing.py
+++ b/libraries/links/plantainstand_links/_outgoing.py
@@ -41,6 +41,11 @@
         link = self._link
         return link.heard_at if link is not None and link.is_open else None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait until the peer reads."""
+        return 0 if self._link is None else self._link.unsent_bytes
+
     def abort(self) -> None:
         """Close the connection at once; :meth:`run` connects again."""
         if self._link is not None:
--- a/tests/consensus/test_full_disks.py
+++ b/tests/consensus/test_full_disks.py
@@ -15,7 +15,7 @@
 from result import UnwrapError
 
 from tests.consensus.simulated_loop import run_simulated
-from tests.consensus.test_replica import _FOLDER, _VMS, _Cluster
+from tests.consensus.simulated_replicas import FOLDER, VMS, SimulatedReplicas
 
 _ROUNDS = 9
 _REOPEN_SECONDS = 0.5
@@ -38,12 +38,12 @@
                 run_simulated(self._play(random.Random(seed)))  # noqa: S311
 
     async def _play(self, draw: random.Random) -> None:
-        cluster = _Cluster()
-        for vm in _VMS:
+        cluster = SimulatedReplicas()
+        for vm in VMS:
             disk = cluster.disks[vm]
-            format_voter(_FOLDER, vm, _VMS, file_system=disk).unwrap()
+            format_voter(FOLDER, vm, VMS, file_system=disk).unwrap()
         runners = [
-            asyncio.create_task(_run_with_restarts(cluster, vm)) for vm in _VMS
+            asyncio.create_task(_run_with_restarts(cluster, vm)) for vm in VMS
         ]
         acknowledged: list[bytes] = []
         writing = asyncio.create_task(_write(cluster, draw, acknowledged))
@@ -51,7 +51,7 @@
         rounds = _ROUNDS
         while rounds:
             rounds -= 1
-            disk = cluster.disks[draw.choice(_VMS)]
+            disk = cluster.disks[draw.choice(VMS)]
             used = sum(len(disk.read(path)) for path in disk.paths())
             disk.capacity_bytes = used + draw.choice((0, 0, 40, 300))
             await asyncio.sleep(draw.uniform(0.3, 4))
@@ -70,7 +70,7 @@
         await asyncio.wait(runners)
 
 
-async def _run_with_restarts(cluster: _Cluster, vm: VmId) -> None:
+async def _run_with_restarts(cluster: SimulatedReplicas, vm: VmId) -> None:
     """Open the disk again after each failure, as control VMs do."""
     while True:
         with suppress(UnwrapError):
@@ -80,7 +80,7 @@
 
 
 async def _write(
-    cluster: _Cluster, draw: random.Random, acknowledged: list[bytes]
+    cluster: SimulatedReplicas, draw: random.Random, acknowledged: list[bytes]
 ) -> None:
     number = 0
     while True:
