--- a/libraries/consensus/plantainstand_consensus/_interfaces.py
+++ b/libraries/consensus/plantainstand_consensus/_interfaces.py
@@ -118,6 +118,9 @@
     snapshot_bytes: int
     """Length of the newest snapshot; 0 without one."""
 
+    journal_bytes: int
+    """Entries on disk, in bytes."""
+
     members: tuple[VmId, ...]
     """VMs that are to be voters."""
 
--- a/libraries/consensus/plantainstand_consensus/_opening.py
+++ b/libraries/consensus/plantainstand_consensus/_opening.py
@@ -6,6 +6,7 @@
 
 from plantainstand_core import DiskId, LogIndex, VmId
 from plantainstand_storage import (
+    SEGMENT_BYTES,
     FileSystem,
     FolderIdentity,
     IdentityFile,
@@ -63,14 +64,20 @@
     *,
     file_system: FileSystem | None = None,
     random_source: random.Random | None = None,
+    segment_bytes: int = SEGMENT_BYTES,
 ) -> Result[VoterStorage, StorageProblem]:
     """Open a folder; an empty one gets a new disk id.
 
     A replica with a new disk id has no vote until the leader has sent it the
     log and added it. Damage is a ``CORRUPT`` problem: the replica must not run
     on this folder, and is repaired by a start with an empty one.
+
+    ``segment_bytes`` is the length of a file of the journal. Opening takes the
+    memory of one such file besides that of the entries after the snapshot.
     """
-    opener = _Opener(folder, vm, file_system, random_source)
+    opener = _Opener(
+        folder, vm, file_system, random_source, segment_bytes=segment_bytes
+    )
     checked_identity = opener.load_identity().and_then(
         opener.check_or_create_identity
     )
@@ -88,7 +95,10 @@
         vm: VmId,
         file_system: FileSystem | None,
         random_source: random.Random | None,
+        *,
+        segment_bytes: int = SEGMENT_BYTES,
     ):
+        self._segment_bytes = segment_bytes
         self._folder = folder
         self._vm = vm
         self._file_system = file_system or LocalFileSystem()
@@ -135,6 +145,7 @@
         opened = Journal.open(
             folder / 'journal',
             self._file_system,
+            self._segment_bytes,
             create=create,
         )
         return opened.map(
@@ -217,11 +228,12 @@
     snapshot: Snapshot | None,
 ) -> Result[Log, StorageProblem]:
     journal = files.journal
-    loaded = _read_all(journal)
+    snapshot_index = snapshot.index if snapshot else 0
+    # The snapshot replaces all entries before its own.
+    loaded = _read_entries(journal, snapshot_index)
     if isinstance(loaded, Err):
         return loaded
     entries = loaded.ok_value
-    snapshot_index = snapshot.index if snapshot else 0
     if journal.first_index > snapshot_index + 1:
         return _storage_problem(
             files.folder,
@@ -241,10 +253,16 @@
     )
 
 
-def _read_all(journal: Journal) -> Result[Sequence[Entry], StorageProblem]:
-    return journal.read_all().map(
-        lambda records: [decode_entry(record) for record in records],
+def _read_entries(
+    journal: Journal,
+    first: int,
+) -> Result[Sequence[Entry], StorageProblem]:
+    entries: list[Entry] = []
+    read = journal.read_each(
+        LogIndex(first),
+        lambda record: entries.append(decode_entry(record)),
     )
+    return read.map(lambda _none: entries)
 
 
 def _journal_agrees(
@@ -252,10 +270,9 @@
     journal: Journal,
     entries: Sequence[Entry],
 ) -> bool:
-    position = snapshot.index - journal.first_index
-    if position < 0:
+    if snapshot.index < journal.first_index:
         return True
-    return position < len(entries) and entries[position].term == snapshot.term
+    return bool(entries) and entries[0].term == snapshot.term
 
 
 def _check_terms(
--- a/libraries/consensus/plantainstand_consensus/_replica.py
+++ b/libraries/consensus/plantainstand_consensus/_replica.py
@@ -156,6 +156,7 @@
             self._core,
             self._options.clock.monotonic(),
             self._writer.problem,
+            self._storage.journal_bytes,
             running=self._running,
         )
 
--- a/libraries/consensus/plantainstand_consensus/_status.py
+++ b/libraries/consensus/plantainstand_consensus/_status.py
@@ -14,6 +14,7 @@
     core: ReplicaCore,
     now: timedelta,
     problem: StorageProblem | None,
+    journal_bytes: int,
     *,
     running: bool,
 ) -> ReplicaStatus:
@@ -40,6 +41,7 @@
             state.log.base_index, state.log.last_index
         ),
         snapshot_bytes=len(snapshot.payload) if snapshot else 0,
+        journal_bytes=journal_bytes,
         members=configuration.members,
         voters=configuration.voters,
         problem=problem,
--- a/libraries/consensus/plantainstand_consensus/_storage.py
+++ b/libraries/consensus/plantainstand_consensus/_storage.py
@@ -83,6 +83,11 @@
         """Incomplete end that was removed from the journal when opened."""
         return self._files.journal.torn_tail
 
+    @property
+    def journal_bytes(self) -> int:
+        """Length of the journal's files."""
+        return self._files.journal.stored_bytes
+
     def perform(self, writes: Sequence[Write]) -> _WriteResult:
         """Execute writes in order; all are durable on return."""
         with self._lock:
--- a/libraries/control/plantainstand_control/_replica.py
+++ b/libraries/control/plantainstand_control/_replica.py
@@ -141,7 +141,9 @@
                 formatted
             ):
                 return formatted
-        return open_voter(folder, settings.vm)
+        return open_voter(
+            folder, settings.vm, segment_bytes=self._limits.segment_bytes
+        )
 
 
 def _is_formatted_already(formatted: Err[StorageProblem]) -> bool:
--- a/libraries/storage/plantainstand_storage/_checked_file.py
+++ b/libraries/storage/plantainstand_storage/_checked_file.py
@@ -30,7 +30,7 @@
         xxhash.xxh3_64_intdigest(payload),
     )
     with closing(file_system.open_append(temporary_path)) as temporary_file:
-        _replace_content(temporary_file, header + payload)
+        _replace_content(temporary_file, header, payload)
     file_system.rename(temporary_path, path)
     file_system.sync_folder(path.parent)
 
@@ -52,8 +52,9 @@
     )
 
 
-def _replace_content(temporary_file: AppendFile, content: bytes) -> None:
+def _replace_content(temporary_file: AppendFile, *parts: bytes) -> None:
     # The temporary file of an interrupted write may still exist.
     temporary_file.truncate(0)
-    temporary_file.write(content)
+    for part in parts:
+        temporary_file.write(part)
     temporary_file.sync()
--- a/libraries/storage/plantainstand_storage/_journal.py
+++ b/libraries/storage/plantainstand_storage/_journal.py
@@ -138,20 +138,28 @@
         ]
         return capture_errors(self._folder, lambda: matching[0].read(index))
 
-    def read_all(self) -> Result[Sequence[bytes], StorageProblem]:
-        """Return all records from ``first_index`` on, verified again."""
+    def read_each(
+        self,
+        first: LogIndex,
+        receive: Callable[[bytes], None],
+    ) -> Result[None, StorageProblem]:
+        """Call ``receive`` with each record from ``first`` on, verified again.
+
+        One file of the journal is in memory at a time.
+        """
         return capture_errors(
             self._folder,
-            lambda: [
-                record
-                for segment in self._segments
-                for record in segment.read_all()
-            ],
+            lambda: _read_each(self._segments, first, receive),
         )
 
+    @property
+    def stored_bytes(self) -> int:
+        """Length of all files of the journal."""
+        return sum(segment.length for segment in tuple(self._segments))
+
     def truncate_from(self, index: LogIndex) -> Result[None, StorageProblem]:
         """Remove the records from ``index`` on; durable on return."""
-        return self._run_unless_failed(lambda: self._truncate(index))
+        return self._run_unless_failed(lambda: _truncate(self._segments, index))
 
     def discard_through(self, index: LogIndex) -> Result[None, StorageProblem]:
         """Remove records that a snapshot at ``index`` replaces.
@@ -212,14 +220,6 @@
         if mark_written.is_err():
             newest.truncate(length)
 
-    def _truncate(self, index: LogIndex) -> None:
-        # Newest first, so that a crash leaves no gap between segments.
-        while (
-            index <= self._segments[-1].first_index and len(self._segments) > 1
-        ):
-            self._segments.pop().remove()
-        self._segments[-1].truncate_from(index)
-
     def _discard(self, index: LogIndex) -> None:
         newest = self._segments[-1]
         if index >= newest.next_index:
@@ -235,6 +235,23 @@
             self._segments.pop(0).remove()
 
 
+def _read_each(
+    segments: Sequence[Segment],
+    first: LogIndex,
+    receive: Callable[[bytes], None],
+) -> None:
+    for segment in segments:
+        for record in segment.read_from(first):
+            receive(record)
+
+
+def _truncate(segments: list[Segment], index: LogIndex) -> None:
+    # Newest first, so that a crash leaves no gap between segments.
+    while index <= segments[-1].first_index and len(segments) > 1:
+        segments.pop().remove()
+    segments[-1].truncate_from(index)
+
+
 def _recover_or_create(
     file_system: FileSystem,
     folder: Path,
--- a/libraries/storage/plantainstand_storage/_segment.py
+++ b/libraries/storage/plantainstand_storage/_segment.py
@@ -1,7 +1,7 @@
 """Segment file of a journal."""
 
 from array import array
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from plantainstand_storage._file_system import AppendFile, FileSystem
@@ -138,17 +138,19 @@
         record = decode_record(content, 0, self.first_index, start)
         return self._verified_payload(record, index, start)
 
-    def read_all(self) -> Sequence[bytes]:
-        """Return all payloads, verified, with a single read of the file."""
+    def read_from(self, first: int) -> Iterator[bytes]:
+        """Yield the payloads from an index on, verified.
+
+        The file is read once; payloads are copied one at a time.
+        """
+        skipped = max(first - self.first_index, 0)
+        if skipped >= len(self._offsets):
+            return
         content = self._file_system.read(self.path)
-        return [
-            self._verified_payload(
-                decode_record(content, offset, self.first_index),
-                index,
-                offset,
-            )
-            for index, offset in enumerate(self._offsets, self.first_index)
-        ]
+        for index in range(self.first_index + skipped, self.next_index):
+            offset = self._offsets[index - self.first_index]
+            record = decode_record(content, offset, self.first_index)
+            yield self._verified_payload(record, index, offset)
 
     def close(self) -> None:
         """Close the file if it is open."""
--- a/tests/consensus/test_opening.py
+++ b/tests/consensus/test_opening.py
@@ -1,6 +1,7 @@
 """Tests of data folders: new, emptied, foreign, damaged and after crashes."""
 
 import random
+import tracemalloc
 import unittest
 from pathlib import Path
 
@@ -20,7 +21,11 @@
     open_voter,
 )
 from plantainstand_core import VmId
-from plantainstand_storage import StorageProblem, StorageProblemKind
+from plantainstand_storage import (
+    SEGMENT_BYTES,
+    StorageProblem,
+    StorageProblemKind,
+)
 from result import Result
 
 from tests.storage.simulated_file_system import (
@@ -30,6 +35,7 @@
 
 _FOLDER = Path('/voter')
 _VM = VmId('a')
+_LONG_COMMAND_BYTES = 100_000
 _OTHERS = (VmId('b'), VmId('c'))
 _NO_VOTERS = Configuration((), (), formed=False)
 _SNAPSHOT = Snapshot(8, 3, _NO_VOTERS, b'state')
@@ -71,6 +77,33 @@
 class OpeningTest(unittest.TestCase):
     """Guards against a voter that runs with lost or foreign data."""
 
+    def test_memory(self) -> None:
+        """Guards against a start that takes the memory of the whole history.
+
+        A process that is killed for it would start again and again.
+        """
+        disk = SimulatedFileSystem()
+        format_voter(_FOLDER, _VM, (_VM,), file_system=disk).unwrap()
+        storage = _open(disk).unwrap()
+        writes: list[Write] = [WriteHardState(HardState(1))]
+        writes.extend(
+            WriteEntries(
+                (Entry(index, 1, Command(bytes(_LONG_COMMAND_BYTES))),)
+            )
+            for index in range(1, 311)
+        )
+        state = Snapshot(300, 1, _NO_VOTERS, b'state')
+        writes.append(WriteSnapshot(state, 0, replaces_log=False))
+        storage.perform(writes).unwrap()
+        storage.close()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        reopened = _open(disk).unwrap()
+        _current, peak = tracemalloc.get_traced_memory()
+        self.assertEqual(reopened.state.log.last_index, 310)
+        later_bytes = 10 * _LONG_COMMAND_BYTES
+        self.assertLess(peak, SEGMENT_BYTES + later_bytes)
+
     def test_formatted_folder_is_not_formatted_again(self) -> None:
         """Only an unused folder can be formatted."""
         disk = SimulatedFileSystem()
--- a/tests/storage/test_journal.py
+++ b/tests/storage/test_journal.py
@@ -43,8 +43,14 @@
     return Journal.open(_FOLDER, disk, _SEGMENT_BYTES, create=create)
 
 
+def _read_all(journal: Journal) -> Result[Sequence[bytes], StorageProblem]:
+    records: list[bytes] = []
+    read = journal.read_each(journal.first_index, records.append)
+    return read.map(lambda _none: records)
+
+
 def _contents(journal: Journal) -> dict[int, bytes]:
-    records = journal.read_all().unwrap()
+    records = _read_all(journal).unwrap()
     contents = dict(enumerate(records, journal.first_index))
     for index, record in contents.items():
         if journal.read(LogIndex(index)).unwrap() != record:
@@ -158,7 +164,7 @@
         journal = _filled(disk)
         disk.flip_bit(disk.paths()[0], 52 * 8)
         single = journal.read(journal.first_index).unwrap_err()
-        everything = journal.read_all().unwrap_err()
+        everything = _read_all(journal).unwrap_err()
         self.assertEqual(single.kind, StorageProblemKind.CORRUPT)
         self.assertEqual(everything, single)
 
