HTTP: small pieces cost a bounded share of the event loop and their bytes only

Cause: work was counted in bytes on the wire. One read brings up to 43,000 chunks of one byte. Each was a part of its own with a write of its own to the client, and the loop that writes them never gives way while parts are there. The same count let pieces take memory: a list item for each piece of a request body, trailers and headers without end.

Ruled out: the client's speed (the source is paused by bytes, which one read of small chunks hardly reaches), the deadline's timer (it is set, but the loop does not get to it).

Change: PacedInput parses what a connection has read in slices, and PieceBudget limits the small pieces of all targets together, and of all clients together, to 40,000 a second; the connection is not read meanwhile. 64 small pieces of a message are free, so usual peers are never charged. Small parts of a stream are joined. Request bodies are collected as bytes, trailers are dropped, framing without content ends at 64 KiB also for requests, a response has at most 256 headers.

Tests, before / after: one-byte chunks from a target for 1 s: ended after 3.1 s (2.0 allowed) / passes; from a client: 107,381 pieces (48,000 allowed) / passes.

--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -8,6 +8,7 @@
 import httptools
 
 from plantainstand_http._messages import Headers, header_value
+from plantainstand_http._pacing import SMALL_PIECE_BYTES
 from plantainstand_http._stream import (
     BodyStream,
     ExchangeFailure,
@@ -30,6 +31,9 @@
 """Longest run of bytes without body content: heads, interim responses, chunk
 extensions, trailers. More than four times the usual limit of a head."""
 
+MAX_HEADERS = 256
+"""Headers of one response. Each costs memory far beyond its bytes."""
+
 MAX_MISMATCHED_BODY_BYTES = 1024 * 1024
 """Body bytes of responses to other requests that are skipped on one connection:
 enough for a late copy of a large response, but not for an endless one."""
@@ -65,8 +69,7 @@
     """A response that is being read."""
 
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    body: bytearray = field(default_factory=bytearray)
     head_complete: bool = False
     is_mismatched: bool = False
     """Whether the response is to another request and is skipped."""
@@ -111,6 +114,7 @@
         self._foreign_bytes = 0
         self._foreign_responses = 0
         self._fault: str | None = None
+        self._small_pieces = 0
 
     @property
     def is_expecting(self) -> bool:
@@ -127,7 +131,7 @@
         self._foreign_responses = 0
         self._partial = _PartialResponse()
 
-    def feed(self, chunk: bytes) -> str | None:
+    def feed(self, chunk: bytes | memoryview) -> str | None:
         """Parse bytes; return the fault if they are no valid response."""
         self._framing_bytes += len(chunk)
         try:
@@ -142,6 +146,12 @@
             return 'too many bytes for other requests'
         return self._fault
 
+    def take_small_pieces(self) -> int:
+        """Return the number of small pieces since the last call."""
+        count = self._small_pieces
+        self._small_pieces = 0
+        return count
+
     def end_input(self) -> None:
         """Complete a response whose body ends with the connection."""
         partial = self._partial
@@ -160,6 +170,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._small_pieces += 1
         self._partial = _PartialResponse()
         if not self._expecting:
             # A second response to the same request has begun.
@@ -167,8 +178,13 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; ignore trailers."""
-        if not self._partial.head_complete:
-            self._partial.headers.append((name.lower(), content))
+        partial = self._partial
+        if partial.head_complete:
+            return
+        if len(partial.headers) < MAX_HEADERS:
+            partial.headers.append((name.lower(), content))
+        else:
+            self._fault = 'too many headers'
 
     def on_headers_complete(self) -> None:
         """Check the response's identity and decide how to read its body."""
@@ -190,14 +206,14 @@
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body, stream it, or skip it."""
         self._framing_bytes = 0
+        self._small_pieces += len(part) < SMALL_PIECE_BYTES
         partial = self._partial
         is_expected = self._expecting and not partial.is_mismatched
         if is_expected and self._stream is not None:
             self._stream.feed(part)
         elif is_expected:
-            partial.body.append(part)
-            partial.body_bytes += len(part)
-            if partial.body_bytes > MAX_COLLECTED_BODY_BYTES:
+            partial.body += part
+            if len(partial.body) > MAX_COLLECTED_BODY_BYTES:
                 self._begin_stream()
         else:
             self._foreign_bytes += len(part)
@@ -236,9 +252,9 @@
         if partial.is_mismatched:
             return
         self._stream = BodyStream(self._source)
-        for part in partial.body:
-            self._stream.feed(part)
-        partial.body = []
+        if partial.body:
+            self._stream.feed(bytes(partial.body))
+        partial.body = bytearray()
         self._deliver()
 
     def _complete(self) -> None:
@@ -261,7 +277,7 @@
             TargetResponse(
                 self._parser.get_status_code(),
                 tuple(partial.headers),
-                b''.join(partial.body),
+                bytes(partial.body),
                 self._stream,
             ),
         )
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -15,6 +15,7 @@
 
 from plantainstand_http._answer_reader import EchoedHeader, TargetResponse
 from plantainstand_http._connection import ExchangeResult, TargetConnection
+from plantainstand_http._pacing import PieceBudget
 from plantainstand_http._stream import ExchangeFailure, FailureKind
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -32,8 +33,14 @@
         """Create an empty pool."""
         self._clock = clock
         self._idle: dict[str, deque[TargetConnection]] = {}
+        self._budget = PieceBudget(clock)
         self.opened_count = 0
 
+    @property
+    def pause_count(self) -> int:
+        """How often a target that sends small pieces was not read."""
+        return self._budget.pause_count
+
     async def exchange(
         self,
         address: str,
@@ -146,7 +153,7 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 _transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._clock),
+                    lambda: TargetConnection(self._clock, self._budget),
                     host,
                     int(port),
                 )
--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -9,7 +9,9 @@
 
 from plantainstand_http._messages import Headers, Request, Response
 from plantainstand_http._output import ClientOutput
+from plantainstand_http._pacing import PacedInput
 from plantainstand_http._pipeline import (
+    ClientLimits,
     PipelineCallbacks,
     RequestPipeline,
     ServerState,
@@ -22,6 +24,13 @@
 """Total size of the request bodies that one server buffers: the largest usual
 body and some smaller ones."""
 
+MAX_FRAMING_BYTES = 64 * 1024
+"""Longest run of bytes of a request without body content: chunk extensions and
+trailers, which have no end of their own."""
+
+SLICE_BYTES = 4096
+"""Bytes that are parsed at once: some two hundred of the shortest requests."""
+
 RETRY_AFTER_SECONDS = b'0.5'
 """Retry-After of a request whose body does not fit into the buffer."""
 
@@ -44,6 +53,7 @@
             self._enqueue,
             self._pipeline.send_continue,
         )
+        self._input = PacedInput(server.budget, SLICE_BYTES, self._parse)
         self._transport: asyncio.Transport | None = None
         self._output: ClientOutput | None = None
         self._last_activity = clock.monotonic()
@@ -60,6 +70,7 @@
         """See :class:`asyncio.Protocol`."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
+        self._input.open(transport)
         self._output = ClientOutput(transport, self._clock)
         self._pipeline.open(self._output)
         self._server.connections.add(self)
@@ -68,6 +79,7 @@
         """Cancel the requests of a client that has disconnected."""
         self._server.connections.discard(self)
         self._transport = None
+        self._input.close()
         self._output = None
         self._pipeline.cancel()
         self._server.buffered_body_bytes -= self._own_buffered_bytes
@@ -88,13 +100,9 @@
             self._output.resume_streams()
 
     def data_received(self, chunk: bytes) -> None:
-        """Parse bytes from the client."""
-        if self._pipeline.input_ended:
-            return
+        """Parse bytes from the client, within its share of the loop."""
         self._last_activity = self._clock.monotonic()
-        if not self._reader.feed(chunk):
-            self._reject(HTTPStatus.BAD_REQUEST)
-        self._check_size()
+        self._input.receive(chunk)
 
     def check_timeouts(self, now: timedelta) -> None:
         """Close a connection that is idle or whose client is too slow."""
@@ -123,15 +131,19 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _check_size(self) -> None:
-        limits = self._server.limits
+    def _parse(self, part: bytes | memoryview) -> int:
+        if self._pipeline.input_ended:
+            return 0
         reader = self._reader
-        if reader.reading_head and reader.head_bytes > limits.header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif reader.body_bytes > limits.body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif self._update_buffered_bytes() and reader.body_bytes:
-            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+        problem = None
+        if not reader.feed(part):
+            problem = HTTPStatus.BAD_REQUEST
+        problem = problem or _size_problem(reader, self._server.limits)
+        if problem is None and self._update_buffered_bytes():
+            problem = HTTPStatus.SERVICE_UNAVAILABLE
+        if problem is not None:
+            self._reject(problem)
+        return reader.take_small_pieces()
 
     def _enqueue(self, request: Request) -> None:
         if self._pipeline.input_ended:
@@ -142,8 +154,9 @@
         # Reading goes on without keep-alive, since it detects that the client
         # disconnects.
         self._pipeline.add(request)
-        if self._pipeline.is_full and self._transport is not None:
-            self._transport.pause_reading()
+        self._input.begin_message()
+        if self._pipeline.is_full:
+            self._input.pause()
 
     def _reject(self, status: HTTPStatus) -> None:
         """Reject a request that cannot be read, after earlier responses."""
@@ -159,11 +172,15 @@
         self._pipeline.add(placeholder, Response(status, headers, close=True))
 
     def _update_buffered_bytes(self) -> bool:
-        """Update the buffered bytes; tell whether the server's are too many."""
+        """Update the buffered bytes.
+
+        Return whether a body is arriving for which the server has no room.
+        """
         held = self._reader.body_bytes + self._pipeline.body_bytes
         self._server.buffered_body_bytes += held - self._own_buffered_bytes
         self._own_buffered_bytes = held
-        return self._server.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+        is_full = self._server.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+        return is_full and self._reader.body_bytes > 0
 
     def _handle_progress(self) -> None:
         self._last_activity = self._clock.monotonic()
@@ -171,15 +188,29 @@
             return
         self._update_buffered_bytes()
         if not self._pipeline.input_ended and not self._pipeline.is_full:
-            self._transport.resume_reading()
+            self._input.resume()
 
     def _stop_reading(self) -> None:
         """Stop reading; bytes that follow count as not received."""
         self._pipeline.end_input()
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._input.discard()
+        self._input.pause()
 
     def _end_output(self) -> None:
         self._stop_reading()
         if self._output is not None:
             self._output.end()
+
+
+def _size_problem(
+    reader: RequestReader,
+    limits: ClientLimits,
+) -> HTTPStatus | None:
+    framing_limit = max(MAX_FRAMING_BYTES, limits.header_bytes)
+    if reader.framing_bytes > framing_limit:
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    if reader.reading_head and reader.head_bytes > limits.header_bytes:
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    if reader.body_bytes > limits.body_bytes:
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    return None
--- a/libraries/http/plantainstand_http/_connection.py
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -12,24 +12,32 @@
     ResponseReader,
     TargetResponse,
 )
+from plantainstand_http._pacing import PacedInput, PieceBudget
 from plantainstand_http._stream import (
     ExchangeFailure,
     FailureKind,
     StreamSource,
 )
 
+SLICE_BYTES = 16 * 1024
+"""Bytes that are parsed at once."""
+
 ExchangeResult = Result[TargetResponse, ExchangeFailure]
 
 
 class TargetConnection(asyncio.Protocol):
     """Sends requests and delivers their responses, one after the other."""
 
-    def __init__(self, clock: Clock):
-        """Create a protocol whose connection is opened by the event loop."""
+    def __init__(self, clock: Clock, budget: PieceBudget):
+        """Create a protocol whose connection is opened by the event loop.
+
+        ``budget`` limits the small pieces of all targets.
+        """
         self._clock = clock
+        self._input = PacedInput(budget, SLICE_BYTES, self._parse)
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader(
-            StreamSource(self._pause, self._resume, self.abort),
+            StreamSource(self._input.pause, self._input.resume, self.abort),
             self._deliver,
             self._complete,
         )
@@ -43,6 +51,9 @@
         """Whether another request may be sent on the connection now."""
         if self._transport is None or self._transport.is_closing():
             return False
+        if self._input.has_rest:
+            # Bytes after the response are no response to anything.
+            return False
         idle = self._clock.monotonic() - self._idle_since
         return self._reader.may_reuse and idle < self._reader.idle_limit
 
@@ -50,6 +61,7 @@
         """See :class:`asyncio.Protocol`."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
+        self._input.open(transport)
 
     def send(
         self,
@@ -66,6 +78,7 @@
         assert self._transport is not None  # noqa: S101
         self._waiter = asyncio.get_running_loop().create_future()
         self._released = released
+        self._input.begin_message()
         self._reader.expect(echoed_header, head_only=head_only)
         self._transport.write(payload)
         return self._waiter
@@ -83,18 +96,13 @@
     def abort(self) -> None:
         """Close at once, so that the target stops working on the request."""
         self._reader.may_reuse = False
+        self._input.discard()
         if self._transport is not None:
             self._transport.abort()
 
     def data_received(self, chunk: bytes) -> None:
-        """Parse bytes from the target."""
-        if not self._reader.is_expecting:
-            # Bytes without a request are no response to anything.
-            self.abort()
-            return
-        fault = self._reader.feed(chunk)
-        if fault is not None:
-            self._fail(FailureKind.BROKEN, fault)
+        """Parse bytes from the target, within its share of the loop."""
+        self._input.receive(chunk)
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -104,9 +112,20 @@
     def connection_lost(self, problem: Exception | None) -> None:
         """Fail the exchange in progress."""
         self._transport = None
+        self._input.close()
         detail = 'connection reset' if problem else 'connection closed'
         self._fail(FailureKind.BROKEN, detail)
 
+    def _parse(self, part: bytes | memoryview) -> int:
+        if not self._reader.is_expecting:
+            # Bytes without a request are no response to anything.
+            self.abort()
+            return 0
+        fault = self._reader.feed(part)
+        if fault is not None:
+            self._fail(FailureKind.BROKEN, fault)
+        return self._reader.take_small_pieces()
+
     def _deliver(self, answer: TargetResponse) -> None:
         self._settle(Ok(answer))
 
@@ -116,7 +135,7 @@
         if self._transport and self._transport.get_write_buffer_size():
             # The target would parse the unsent rest of the body as a request.
             self._reader.may_reuse = False
-        self._resume()
+        self._input.resume()
         if self._released is not None:
             self._released()
 
@@ -137,11 +156,3 @@
         if self._stream_timer is not None:
             self._stream_timer.cancel()
             self._stream_timer = None
-
-    def _pause(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def _resume(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -13,6 +13,7 @@
 
 from plantainstand_http._messages import Request, Response
 from plantainstand_http._output import ClientOutput
+from plantainstand_http._pacing import PieceBudget
 
 Handler = Callable[[Request], Awaitable[Response]]
 """Handles a request; cancelled when the client disconnects."""
@@ -64,6 +65,9 @@
     have their responses. A request that must run at most once may not: if an
     earlier response closes the connection, clients send later ones again."""
 
+    budget: PieceBudget
+    """Limits the small pieces of all clients."""
+
     limits: ClientLimits = field(default_factory=ClientLimits)
     closing: bool = False
     """Whether connections close after the requests already read."""
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -7,6 +7,7 @@
 from plantainstand_core import Clock
 
 from plantainstand_http._messages import Request, header_value
+from plantainstand_http._pacing import SMALL_PIECE_BYTES
 
 
 class RequestReader:
@@ -27,13 +28,21 @@
         self._completed = completed
         self._expects_continue = expects_continue
         self._parser = httptools.HttpRequestParser(self)
+        self._small_pieces = 0
         self._begin()
 
-    def feed(self, chunk: bytes) -> bool:
+    def take_small_pieces(self) -> int:
+        """Return the number of small pieces since the last call."""
+        count = self._small_pieces
+        self._small_pieces = 0
+        return count
+
+    def feed(self, chunk: bytes | memoryview) -> bool:
         """Parse bytes; return False if they are no valid HTTP."""
         if self.reading_head:
             self.started = True
             self.head_bytes += len(chunk)
+        self.framing_bytes += len(chunk)
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
@@ -50,7 +59,10 @@
         self._target += part
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; ignore trailers."""
+        if not self.reading_head:
+            self._small_pieces += 1
+            return
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -62,7 +74,9 @@
 
     def on_body(self, part: bytes) -> None:
         """Collect a part of the body."""
-        self._body.append(part)
+        self._small_pieces += len(part) < SMALL_PIECE_BYTES
+        self.framing_bytes = 0
+        self._body += part
         self.body_bytes += len(part)
 
     def on_message_complete(self) -> None:
@@ -71,7 +85,7 @@
             method=self._parser.get_method(),
             request_target=self._target,
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             received_at=self._received_at,
             keep_alive=self._parser.should_keep_alive(),
             accepts_chunked=self._parser.get_http_version() != '1.0',
@@ -84,8 +98,9 @@
         self.started = False
         self.begun_at: timedelta = self._clock.monotonic()
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.body_bytes = 0
         self._received_at = self.begun_at
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -9,6 +9,7 @@
 
 from plantainstand_http._client_connection import ClientConnection
 from plantainstand_http._messages import Request
+from plantainstand_http._pacing import PieceBudget
 from plantainstand_http._pipeline import ClientLimits, Handler, ServerState
 
 TIMEOUT_CHECK_INTERVAL = timedelta(milliseconds=250)
@@ -33,7 +34,9 @@
         ``may_overlap`` tells which pipelined requests may be handled before the
         preceding ones have their responses; without it, none.
         """
-        self._state = ServerState(handler, may_overlap or _never)
+        self._state = ServerState(
+            handler, may_overlap or _never, PieceBudget(clock)
+        )
         self._clock = clock
         self._listener: asyncio.Server | None = None
 
@@ -46,6 +49,11 @@
     def limits(self, limits: ClientLimits) -> None:
         self._state.limits = limits
 
+    @property
+    def pause_count(self) -> int:
+        """How often a client that sends small pieces was not read."""
+        return self._state.budget.pause_count
+
     @property
     def busy_count(self) -> int:
         """Number of connections with unfinished requests or unsent bytes."""
--- a/libraries/http/plantainstand_http/_stream.py
+++ b/libraries/http/plantainstand_http/_stream.py
@@ -12,6 +12,10 @@
 """Unread bytes of one body above which the source is paused: a quarter of a
 second on the slowest links."""
 
+_JOINED_PART_BYTES = 4096
+"""Parts below this length are joined to one part, so that neither memory nor
+the number of writes grows with the number of parts."""
+
 
 class FailureKind(Enum):
     """How an exchange failed, and whether the request may have run."""
@@ -64,7 +68,7 @@
     def __init__(self, source: StreamSource):
         """Create a stream without parts."""
         self._source = source
-        self._parts: deque[bytes] = deque()
+        self._parts: deque[bytes | bytearray] = deque()
         self._buffered_bytes = 0
         self._total_bytes = 0
         self._end: StreamEnd | None = None
@@ -77,7 +81,7 @@
 
     def feed(self, part: bytes) -> None:
         """Add bytes from the source."""
-        self._parts.append(part)
+        self._append(part)
         self._buffered_bytes += len(part)
         self._total_bytes += len(part)
         self._changed.set()
@@ -101,7 +105,7 @@
             self._buffered_bytes -= len(part)
             if self._buffered_bytes <= STREAM_BUFFER_BYTES // 2:
                 self._source.resume()
-            return Ok(part)
+            return Ok(bytes(part))
         if isinstance(self._end, Err):
             return self._end
         return Ok(b'')
@@ -115,3 +119,13 @@
         self._listeners = []
         for listener in listeners:
             listener(self._end)
+
+    def _append(self, part: bytes) -> None:
+        if len(part) >= _JOINED_PART_BYTES:
+            self._parts.append(part)
+            return
+        last = self._parts[-1] if self._parts else None
+        if isinstance(last, bytearray) and len(last) < _JOINED_PART_BYTES:
+            last += part
+        else:
+            self._parts.append(bytearray(part))
