HTTP server: bodies and answers that trickle end at a deadline

What callers see: nothing at once; a client that sends or reads a byte now and then keeps a body of up to maxBodyBytes, or an answer, in memory without end.

Cause: the idle timeout was renewed by each byte.

Change: a request body has the idle timeout and a millisecond per byte received (1,000 bytes per second); it is answered 408, as it has not run. A client with more to read must read 4,096 bytes within the idle timeout.

Ruled out: the head (its timeout runs from its first byte).

Tests, before: test_body fails (no 408 after 17 s with an idle timeout of 15), test_response fails (connection kept). After: both pass.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -28,6 +28,10 @@
 """Longest run of bytes of a request without body content: chunk extensions and
 trailers, which have no end of their own."""
 
+MIN_BODY_BYTE_TIME = timedelta(milliseconds=1)
+"""Time that a byte of a request body may take, beside the idle timeout. A body
+that comes more slowly than 1,000 bytes per second is rejected."""
+
 SLICE_BYTES = 4096
 """Bytes that are parsed at once: some two hundred of the shortest requests."""
 
@@ -115,8 +119,8 @@
             return
         reader = self._reader
         idle = now - self._last_activity > limits.idle_timeout
-        late = now - reader.begun_at > limits.head_timeout
-        if reader.started and (idle or (late and reader.reading_head)):
+        late = now > _latest_end(reader, limits)
+        if reader.started and (idle or late):
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         elif idle:
             self._end_output()
@@ -202,6 +206,14 @@
             self._output.end()
 
 
+def _latest_end(reader: RequestReader, limits: ClientLimits) -> timedelta:
+    """Return the time at which the rest of a request must have come."""
+    if reader.reading_head:
+        return reader.begun_at + limits.head_timeout
+    body_time = reader.body_bytes * MIN_BODY_BYTE_TIME
+    return reader.begun_at + limits.idle_timeout + body_time
+
+
 def _size_problem(
     reader: RequestReader,
     limits: ClientLimits,
--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -25,6 +25,10 @@
 be lost."""
 
 
+MIN_PROGRESS_BYTES = 4096
+"""Bytes that a client with more to read must read within the idle timeout."""
+
+
 class ClientOutput:
     """Writes to one client, no faster than the client reads."""
 
@@ -35,7 +39,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._close_at: timedelta | None = None
-        self._last_unsent_bytes = 0
+        self._written_bytes = 0
+        self._progress_bytes = 0
         self._progress_at = clock.monotonic()
 
     @property
@@ -59,7 +64,7 @@
 
     def send_continue(self) -> None:
         """Send the interim response that asks for the request's body."""
-        self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        self._write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     async def send(
         self, request: Request, response: Response, *, close: bool
@@ -67,14 +72,14 @@
         """Send a response; return False if its body was truncated."""
         if response.rest is None:
             head_only = request.method == b'HEAD'
-            self._transport.write(
+            self._write(
                 encode_response(response, close=close, head_only=head_only),
             )
             return True
         unsized = stated_length(response) is None
         chunked = unsized and request.accepts_chunked
         framed = chunked or not unsized
-        self._transport.write(
+        self._write(
             encode_stream_head(
                 response,
                 close=close or not framed,
@@ -98,11 +103,14 @@
     def check_timeouts(self, now: timedelta, stall_limit: timedelta) -> None:
         """Close an ended connection; abort one that the client stopped reading.
 
-        ``stall_limit`` is the longest time without progress.
+        ``stall_limit`` is the longest time in which the client reads less than
+        MIN_PROGRESS_BYTES.
         """
         unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes != self._last_unsent_bytes or not unsent_bytes:
-            self._last_unsent_bytes = unsent_bytes
+        sent_bytes = self._written_bytes - unsent_bytes
+        read_bytes = sent_bytes - self._progress_bytes
+        if read_bytes >= MIN_PROGRESS_BYTES or not unsent_bytes:
+            self._progress_bytes = sent_bytes
             self._progress_at = now
         if now - self._progress_at > stall_limit:
             _log.info('client does not read', unsent_bytes=unsent_bytes)
@@ -116,13 +124,17 @@
             if isinstance(part, Err) or self._transport.is_closing():
                 return False
             if chunked:
-                self._transport.write(encode_chunk(part.ok_value))
+                self._write(encode_chunk(part.ok_value))
             elif part.ok_value:
-                self._transport.write(part.ok_value)
+                self._write(part.ok_value)
             if not part.ok_value:
                 return True
             await self._writable.wait()
 
+    def _write(self, payload: bytes) -> None:
+        self._written_bytes += len(payload)
+        self._transport.write(payload)
+
     def _truncate(self, *, framed: bool) -> None:
         """End the connection in the middle of a response.
 
--- /dev/null
+++ b/tests/http/test_slow_clients.py
@@ -0,0 +1,95 @@
+"""Guards against clients that hold memory by sending or reading slowly."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from plantainstand_core import ManualClock
+from plantainstand_http import ClientLimits, Request, Response
+from plantainstand_http._client_connection import ClientConnection
+from plantainstand_http._pacing import PieceBudget
+from plantainstand_http._pipeline import ServerState
+
+
+class SlowClientTests(unittest.IsolatedAsyncioTestCase):
+    """Each byte in time is not enough: the whole has a deadline."""
+
+    async def asyncSetUp(self) -> None:
+        """Connect a client to a server whose clock the test advances."""
+        self.clock = ManualClock()
+        self.body = bytes(100_000)
+        state = ServerState(
+            self._respond, lambda _request: True, PieceBudget(self.clock)
+        )
+        state.limits = ClientLimits(idle_timeout=timedelta(seconds=15))
+        self.connection = ClientConnection(state, self.clock)
+        self.transport = _Transport()
+        self.connection.connection_made(self.transport)
+
+    async def test_body(self) -> None:
+        """A body that comes byte by byte is rejected, though never idle."""
+        self.connection.data_received(
+            b'POST / HTTP/1.1\r\ncontent-length: 1000\r\n\r\n'
+        )
+        for _ in range(17):
+            self.connection.data_received(b'a')
+            self._advance_second()
+            await asyncio.sleep(0)
+        self.assertIn(b'408', bytes(self.transport.written))
+
+    async def test_response(self) -> None:
+        """A client that reads byte by byte loses its connection."""
+        self.connection.data_received(b'GET / HTTP/1.1\r\n\r\n')
+        while not self.transport.written:
+            await asyncio.sleep(0)
+        for _ in range(17):
+            self.transport.unsent_bytes -= 1
+            self._advance_second()
+        self.assertTrue(self.transport.is_aborted)
+
+    def _advance_second(self) -> None:
+        self.clock.advance(timedelta(seconds=1))
+        self.connection.check_timeouts(self.clock.monotonic())
+
+    async def _respond(self, _request: Request) -> Response:
+        return Response(200, (), self.body)
+
+
+class _Transport(asyncio.Transport):
+    """Transport to a client that reads only what the test says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = bytearray()
+        self.unsent_bytes = 0
+        self.is_aborted = False
+
+    def write(self, payload: bytes | bytearray | memoryview) -> None:
+        """Keep what is written."""
+        self.written += payload
+        self.unsent_bytes += len(payload)
+
+    def get_write_buffer_size(self) -> int:
+        """Return what the client has not read."""
+        return self.unsent_bytes
+
+    def close(self) -> None:
+        """Do nothing: the client has yet to read what was written."""
+
+    def abort(self) -> None:
+        """Note that the connection has ended."""
+        self.is_aborted = True
+
+    def is_closing(self) -> bool:
+        """Return whether the connection has ended."""
+        return self.is_aborted
+
+    def can_write_eof(self) -> bool:
+        """Return that the end cannot be written."""
+        return False
+
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
