Links: frames of one read are delivered over several turns

What callers see: requests wait while a process works through what one other VM sent in many small frames, or in one that never ends.

A byte now and then kept a frame of up to 16 MiB in memory, since any byte renewed the silence timeout.

Change: at most 256 frames a turn, the peer is not read meanwhile; the buffer is cut once a turn; a frame must be whole within 10 s (frame_timeout).

The tests need names that the old code lacks; it delivered all 50,000 in the first call, and has no limit on the time of a frame.

--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -14,6 +14,9 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 """Longest frame; a desired state of thousands of routes is far smaller."""
 
+MAX_FRAMES_PER_TURN = 256
+"""Frames that are delivered before other connections get a turn."""
+
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 """Unsent bytes above which the connection is aborted, so that a peer that does
 not read cannot exhaust the memory of this process."""
@@ -33,6 +36,10 @@
     silence_timeout: timedelta = timedelta(milliseconds=1600)
     """Time without bytes after which a link is aborted: three pings."""
 
+    frame_timeout: timedelta = timedelta(seconds=10)
+    """Longest time in which the rest of a frame must come. A peer could keep
+    the longest frame in memory by sending a byte now and then."""
+
     connect_timeout: timedelta = timedelta(seconds=1)
     """Longest time to open a connection."""
 
@@ -69,6 +76,7 @@
         self._buffer = bytearray()
         self._last_received_at = clock.monotonic()
         self._last_sent_at = clock.monotonic()
+        self._frame_begun_at = clock.monotonic()
         self._timer: asyncio.TimerHandle | None = None
         self._is_congested = False
         self.closed = asyncio.get_running_loop().create_future()
@@ -125,12 +133,10 @@
     def data_received(self, chunk: bytes) -> None:
         """Split received bytes into frames."""
         self._last_received_at = self._clock.monotonic()
+        if not self._buffer:
+            self._frame_begun_at = self._last_received_at
         self._buffer += chunk
-        frame = self._next_frame()
-        while frame is not None:
-            if frame:
-                self._events.received(self, frame)
-            frame = self._next_frame()
+        self._deliver_frames()
 
     def pause_writing(self) -> None:
         """See :class:`asyncio.Protocol`."""
@@ -157,27 +163,59 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _next_frame(self) -> bytes | None:
-        """Return the next whole frame, empty for a ping, or None."""
-        head = self._buffer[: _LENGTH.size]
-        if len(head) < _LENGTH.size:
+    def _deliver_frames(self) -> None:
+        """Deliver whole frames; leave further ones to a later turn.
+
+        The peer is not read meanwhile.
+        """
+        start = 0
+        for _ in range(MAX_FRAMES_PER_TURN):
+            end = self._frame_end(start)
+            if end is None:
+                self._remove_delivered(start)
+                return
+            frame = bytes(self._buffer[start + _LENGTH.size : end])
+            start = end
+            if frame:
+                self._events.received(self, frame)
+        self._remove_delivered(start)
+        if self._transport is not None and self._buffer:
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue_delivery)
+
+    def _continue_delivery(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+            self._deliver_frames()
+
+    def _frame_end(self, start: int) -> int | None:
+        """Return where the frame that begins at ``start`` ends.
+
+        Return None if the frame is not whole, or is too long.
+        """
+        head_end = start + _LENGTH.size
+        if len(self._buffer) < head_end:
             return None
-        length = int.from_bytes(head, 'big')
-        end = _LENGTH.size + length
+        length = int.from_bytes(self._buffer[start:head_end], 'big')
         if length > MAX_FRAME_BYTES:
             self.abort()
             return None
-        if len(self._buffer) < end:
-            return None
-        frame = bytes(self._buffer[_LENGTH.size : end])
-        self._buffer = self._buffer[end:]
-        return frame
+        end = head_end + length
+        return end if end <= len(self._buffer) else None
+
+    def _remove_delivered(self, end: int) -> None:
+        if end:
+            self._buffer = self._buffer[end:]
+            self._frame_begun_at = self._clock.monotonic()
 
     def _check_liveness(self) -> None:
         if self._transport is None:
             return
-        silence = self._clock.monotonic() - self._last_received_at
-        if silence > self._times.silence_timeout:
+        now = self._clock.monotonic()
+        silence = now - self._last_received_at
+        frame_age = now - self._frame_begun_at
+        is_overdue = self._buffer and frame_age > self._times.frame_timeout
+        if silence > self._times.silence_timeout or is_overdue:
             self.abort()
             return
         # A frame that was sent recently serves as a ping.
--- a/tests/links/test_link.py
+++ b/tests/links/test_link.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from plantainstand_core import SystemClock
+from plantainstand_core import ManualClock, SystemClock
 from plantainstand_links import (
     Link,
     LinkCallbacks,
@@ -15,7 +15,9 @@
     LinkTimings,
     OutgoingLink,
 )
+from plantainstand_links._link import MAX_FRAMES_PER_TURN
 
+_FRAMES = 50_000
 _PORT = 17560
 _HOST = '127.0.0.1'
 _DEADLINE_SECONDS = 10
@@ -55,6 +57,83 @@
         self.assertEqual(received, frames)
 
 
+class PieceTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against frames that cost the receiver far more than their bytes.
+
+    A peer that does so would stop the process for its other connections.
+    """
+
+    async def test_many_frames_in_one_read(self) -> None:
+        """Other connections get turns, and no byte is copied for each frame."""
+        received: list[bytes] = []
+        events = LinkCallbacks(
+            _ignore,
+            lambda _link, frame: received.append(frame),
+            _ignore,
+        )
+        link = Link(events, SystemClock(), LinkTimings())
+        transport = _ReadTransport()
+        link.connection_made(transport)
+        link.data_received(b'\x00\x00\x00\x01a' * _FRAMES)
+        self.assertLessEqual(len(received), MAX_FRAMES_PER_TURN)
+        self.assertFalse(transport.is_reading())
+        turns = 0
+        while len(received) < _FRAMES:
+            turns += 1
+            await asyncio.sleep(0)
+        self.assertGreaterEqual(turns, _FRAMES // MAX_FRAMES_PER_TURN - 1)
+        self.assertTrue(transport.is_reading())
+        link.connection_lost(None)
+
+    async def test_frame_without_end(self) -> None:
+        """A peer that sends a byte now and then is not waited for."""
+        clock = ManualClock()
+        times = LinkTimings(ping_interval=timedelta(milliseconds=1))
+        events = LinkCallbacks(_ignore, _ignore, _ignore)
+        link = Link(events, clock, times)
+        transport = _ReadTransport()
+        link.connection_made(transport)
+        link.data_received(b'\x00\xff\xff\xff')
+        latest_end = clock.monotonic() + 2 * times.frame_timeout
+        while not transport.is_closing():
+            self.assertLess(clock.monotonic(), latest_end)
+            clock.advance(timedelta(seconds=1))
+            link.data_received(b'a')
+            await asyncio.sleep(0.002)
+
+
+class _ReadTransport(asyncio.Transport):
+    """Transport whose reading can be paused."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_reading = True
+        self._is_aborted = False
+
+    def is_reading(self) -> bool:
+        """Return whether reading is not paused."""
+        return self._is_reading
+
+    def is_closing(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._is_aborted
+
+    def pause_reading(self) -> None:
+        """Note that reading is paused."""
+        self._is_reading = False
+
+    def resume_reading(self) -> None:
+        """Note that reading is resumed."""
+        self._is_reading = True
+
+    def write(self, payload: bytes | bytearray | memoryview) -> None:
+        """Do nothing."""
+
+    def abort(self) -> None:
+        """Note that the connection has ended."""
+        self._is_aborted = True
+
+
 class SilenceTests(unittest.IsolatedAsyncioTestCase):
     """A connection that a device on its path has dropped must be replaced."""
 
