Desired state: entry VMs get it in short updates, as fast as they read

What callers would see: with a large desired state, control processes that pass memoryMb when many entry VMs connect at once, and above 16 MiB entry VMs that never get it, since a frame of that length ends the link.

Change: DesiredTransfer sends updates of some 64 KiB, the next when the link is no longer congested; only the last one states the log index up to which the VM is complete. Until then an entry VM matches no route and answers 503, not 404. Its route index is built when it is next needed, not for each update.

Ruled out: changes that are lost between two updates (test_change_during_the_transfer).

The tests use the new class, so they cannot run on the old code. A VM of an older build that is sent a large state by a control VM of this build serves with a part of it for the time of the transfer; upgrade entry VMs first. Not run: mixed builds.

--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -18,7 +18,6 @@
 from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredState, DesiredView
 from plantainstand_fleet import (
-    DesiredUpdate,
     EntryChanges,
     EntryReport,
     FleetMessage,
@@ -47,7 +46,10 @@
     ListReader,
     ListReceivers,
 )
-from plantainstand_control._publishing import NotifyingStateMachine
+from plantainstand_control._publishing import (
+    DesiredTransfer,
+    NotifyingStateMachine,
+)
 from plantainstand_control._replica import ReplicaRunner
 from plantainstand_control._rosters import RosterInputs, RosterSender
 from plantainstand_control._settings import ControlSettings
@@ -82,8 +84,8 @@
 
     vm: VmId
     role: VmRole
-    sent_index: LogIndex
-    """Log index through which the VM has received the desired state."""
+    transfer: DesiredTransfer
+    """Sends the desired state, if the VM is an entry VM."""
 
     connected_at: timedelta
 
@@ -167,6 +169,7 @@
                 opened=lambda _link: None,
                 received=self._handle_frame,
                 closed=self._handle_link_closed,
+                writable=self._send_desired,
             )
             server = LinkServer(events, self._clock, LinkTimings())
             settings = self._settings
@@ -263,7 +266,8 @@
     def _handle_hello(self, link: Link, hello: Hello) -> None:
         index = LogIndex(hello.desired_index)
         now = self._clock.monotonic()
-        peer = _LinkPeer(hello.vm, hello.role, index, now)
+        transfer = DesiredTransfer(index)
+        peer = _LinkPeer(hello.vm, hello.role, transfer, now)
         self._link_peers[link] = peer
         if hello.role is VmRole.CONTROL:
             self._peers.record_hello(hello)
@@ -271,7 +275,7 @@
         # A VM that has just started must know what targets stated before it
         # serves requests.
         self._send_rosters()
-        self._send_desired(link, peer)
+        self._send_desired(link)
         full = self._poller.full_update()
         if full is not None:
             link.send(encode_fleet_message(full))
@@ -326,26 +330,23 @@
         self._send_desired_to_all()
 
     def _send_desired_to_all(self) -> None:
-        for link, peer in self._link_peers.items():
-            if peer.role is VmRole.ENTRY:
-                self._send_desired(link, peer)
+        for link in self._link_peers:
+            self._send_desired(link)
 
-    def _send_desired(self, link: Link, peer: _LinkPeer) -> None:
-        complete_through = self._state_machine.index
-        if complete_through <= peer.sent_index:
+    def _send_desired(self, link: Link) -> None:
+        """Send an entry VM what it lacks and its link takes now."""
+        peer = self._link_peers.get(link)
+        if peer is None or peer.role is not VmRole.ENTRY:
+            return
+        index = self._state_machine.index
+        if not peer.transfer.lacks(index):
             return
         waited = self._clock.monotonic() - peer.connected_at
         if waited < STALE_STATE_DELAY and not _has_leader_contact(
             self._replicas.status
         ):
             return
-        update = DesiredUpdate(
-            tuple(self._state.items_after(peer.sent_index)),
-            tuple(self._state.evacuations_after(peer.sent_index)),
-            complete_through,
-        )
-        peer.sent_index = complete_through
-        link.send(encode_fleet_message(update))
+        peer.transfer.send(link, self._state, index)
 
     def _publish_targets(self, update: TargetUpdate) -> None:
         frame = encode_fleet_message(update)
--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -20,6 +20,10 @@
 
 ItemKey = tuple[ItemKind, str]
 
+ITEM_OVERHEAD_BYTES = 256
+"""Length of an item's fields besides its name and what the operator wrote,
+which is stored as text and decoded."""
+
 
 class WeightedService(msgspec.Struct, frozen=True, array_like=True):
     """Service that gets a part of a route's requests."""
@@ -101,6 +105,11 @@
     index: int = 0
     """Log index of the change that set this version; 0 until accepted."""
 
+    @property
+    def size(self) -> int:
+        """Approximate length in bytes when encoded."""
+        return len(self.name) + 2 * len(self.document) + ITEM_OVERHEAD_BYTES
+
     @property
     def key(self) -> ItemKey:
         """Kind and name, which identify the item."""
--- a/libraries/desired/plantainstand_desired/_view.py
+++ b/libraries/desired/plantainstand_desired/_view.py
@@ -45,7 +45,7 @@
         """Start without items."""
         self._items: dict[ItemKey, Item] = {}
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
-        self._routes_by_host: dict[str, tuple[RouteMatch, ...]] = {}
+        self._routes_by_host: dict[str, tuple[RouteMatch, ...]] | None = {}
         self._index = LogIndex(0)
 
     @property
@@ -55,8 +55,12 @@
 
     @property
     def has_routes(self) -> bool:
-        """Whether any route is known."""
-        return bool(self._routes_by_host)
+        """Whether all routes of any log index are known, and there are any.
+
+        A state that has arrived in part does not tell which route a request
+        has.
+        """
+        return self._index > 0 and bool(self._routes())
 
     @property
     def limits(self) -> IngressLimits | None:
@@ -86,7 +90,7 @@
 
         Empty if all regions may serve one of the routes.
         """
-        matches = self._routes_by_host.get(host.lower(), ())
+        matches = self._routes().get(host.lower(), ())
         home_regions = [match.route.home_regions for match in matches]
         if not all(home_regions):
             return frozenset()
@@ -108,7 +112,7 @@
         for item in changed_items:
             self._items[item.key] = item
         if ItemKind.ROUTE in {each.kind for each in changed_items}:
-            self._index_routes()
+            self._routes_by_host = None
         changed_evacuations = [
             each for each in evacuations if self._is_later_evacuation(each)
         ]
@@ -118,8 +122,13 @@
         return bool(changed_items or changed_evacuations)
 
     def match(self, host: str, path: str) -> RouteMatch | None:
-        """Return the route with the longest path prefix that matches."""
-        for candidate in self._routes_by_host.get(host.lower(), ()):
+        """Return the route with the longest path prefix that matches.
+
+        Return None until the state of some log index is complete.
+        """
+        if not self._index:
+            return None
+        for candidate in self._routes().get(host.lower(), ()):
             if path.startswith(candidate.route.path_prefix):
                 return candidate
         return None
@@ -132,13 +141,19 @@
         current = self._evacuations.get(evacuation.zone)
         return current is None or evacuation.index > current.index
 
-    def _index_routes(self) -> None:
+    def _routes(self) -> dict[str, tuple[RouteMatch, ...]]:
+        # Built when it is needed: a large state arrives in many updates.
+        if self._routes_by_host is None:
+            self._routes_by_host = self._index_routes()
+        return self._routes_by_host
+
+    def _index_routes(self) -> dict[str, tuple[RouteMatch, ...]]:
         by_host: dict[str, list[RouteMatch]] = {}
         for item in self._items.values():
             if isinstance(item.body, Route):
                 match = RouteMatch(item.name, item.version, item.body)
                 by_host.setdefault(item.body.host.lower(), []).append(match)
-        self._routes_by_host = {
+        return {
             host: tuple(sorted(matches, key=_prefix_length, reverse=True))
             for host, matches in by_host.items()
         }
--- a/libraries/links/plantainstand_links/_server.py
+++ b/libraries/links/plantainstand_links/_server.py
@@ -14,7 +14,7 @@
     def __init__(self, events: LinkCallbacks, clock: Clock, times: LinkTimings):
         """Report the events of each accepted link to ``events``."""
         self._link_callbacks = LinkCallbacks(
-            self._opened, events.received, self._closed
+            self._opened, events.received, self._closed, events.writable
         )
         self._callbacks = events
         self._clock = clock
--- /dev/null
+++ b/tests/control/test_large_state.py
@@ -0,0 +1,107 @@
+"""Tests of a desired state that is too long for one message."""
+
+import unittest
+from typing import Any, cast
+
+from plantainstand_control._publishing import UPDATE_BYTES, DesiredTransfer
+from plantainstand_core import LogIndex
+from plantainstand_desired import (
+    ChangeItems,
+    DesiredState,
+    DesiredView,
+    Item,
+    encode_command,
+)
+from plantainstand_fleet import DesiredUpdate, decode_fleet_message
+
+from tests.desired.builders import route_item, service_item
+
+_ROUTES = 2_000
+_MOST_FRAME_BYTES = 2 * UPDATE_BYTES
+
+
+def _route(number: int, version: int) -> Item:
+    return route_item(f'r{number}', version, prefix=f'/{number}/')
+
+
+class _SlowLink:
+    """Link that takes one frame at a time."""
+
+    def __init__(self) -> None:
+        self.frames: list[bytes] = []
+        self.is_congested = False
+
+    def send(self, frame: bytes) -> None:
+        """See ``Link.send``."""
+        self.frames.append(frame)
+        self.is_congested = True
+
+
+class LargeStateTests(unittest.TestCase):
+    """Guards against memory for the whole state on the link of each VM."""
+
+    def setUp(self) -> None:
+        """Fill a desired state, and connect a VM that has nothing."""
+        self.state = DesiredState()
+        routes = (_route(number, 5) for number in range(_ROUTES))
+        change = ChangeItems((service_item(), *routes))
+        outcome = self.state.apply(LogIndex(7), encode_command(change))
+        self.assertIn(b'accepted', outcome)
+        self.link = _SlowLink()
+        self.transfer = DesiredTransfer(LogIndex(0))
+        self.view = DesiredView()
+
+    def test_updates_are_short(self) -> None:
+        """The next update waits until the VM has read the one before."""
+        self._send()
+        self._send()
+        self.assertEqual(len(self.link.frames), 1)
+        while self.transfer.lacks(LogIndex(7)):
+            self._receive()
+            self._send()
+        self.assertGreater(len(self.link.frames), 1)
+        longest = max(map(len, self.link.frames))
+        self.assertLess(longest, _MOST_FRAME_BYTES)
+
+    def test_part_of_the_state_is_not_in_force(self) -> None:
+        """Guards against 404 for a route that has not arrived yet."""
+        self._send()
+        self._receive()
+        self.assertFalse(self.view.has_routes)
+        self.assertIsNone(self.view.match('shop.example', '/0/'))
+        while self.transfer.lacks(LogIndex(7)):
+            self._send()
+            self._receive()
+        self.assertTrue(self.view.has_routes)
+        self.assertEqual(self.view.index, 7)
+        held = [item.name for item in self.view._items.values()]
+        self.assertEqual(len(held), _ROUTES + 1)
+
+    def test_change_during_the_transfer(self) -> None:
+        """Guards against a change that is lost between two updates."""
+        self._send()
+        self._receive()
+        change = ChangeItems((_route(0, 6), _route(_ROUTES, 1)))
+        self.state.apply(LogIndex(8), encode_command(change))
+        while self.transfer.lacks(LogIndex(8)):
+            self._send(8)
+            self._receive()
+        versions = {
+            item.name: item.version for item in self.view._items.values()
+        }
+        self.assertEqual((versions['r0'], versions[f'r{_ROUTES}']), (6, 1))
+        self.assertEqual(self.view.index, 8)
+
+    def _send(self, index: int = 7) -> None:
+        self.transfer.send(cast(Any, self.link), self.state, LogIndex(index))
+
+    def _receive(self) -> None:
+        """Let the VM read the newest frame."""
+        update = decode_fleet_message(self.link.frames[-1]).unwrap()
+        assert isinstance(update, DesiredUpdate)
+        self.view.merge(
+            update.items,
+            update.evacuations,
+            LogIndex(update.complete_through),
+        )
+        self.link.is_congested = False
--- a/tests/control/test_stale_state.py
+++ b/tests/control/test_stale_state.py
@@ -35,6 +35,8 @@
 
 
 class _Link:
+    is_congested = False
+
     def __init__(self) -> None:
         self.frames: list[bytes] = []
 
