Desired state: a bounded number of removed items is remembered

Change: the state machine remembers the 10,000 items that were removed last, the same on all replicas, and the log index through which it has forgotten some. A VM that is complete up to a lower index only is sent a list of all items, and removes what is not on it. The view of an entry VM forgets likewise, and takes an unknown item of a time up to which it was complete for a removed one, so a control VM that is behind brings nothing back.

What this gives up: an older change that is delivered again after 10,000 later removals restores the item.

--- a/libraries/control/plantainstand_control/_publishing.py
+++ b/libraries/control/plantainstand_control/_publishing.py
@@ -61,6 +61,7 @@
         self._sent_index = sent_index
         self._target_index = sent_index
         self._waiting: deque[Item] = deque()
+        self._lists_all = False
 
     @property
     def waiting_items(self) -> int:
@@ -85,7 +86,9 @@
         evacuations = state.evacuations_after(self._sent_index)
         if self._target_index == self._sent_index:
             self._target_index = index
-            self._waiting.extend(state.items_after(self._sent_index))
+            self._lists_all = 0 < self._sent_index < state.forgotten_index
+            after = LogIndex(0) if self._lists_all else self._sent_index
+            self._waiting.extend(state.items_after(after))
         items = []
         size = 0
         while self._waiting and size < UPDATE_BYTES:
@@ -93,4 +96,10 @@
             size += items[-1].size
         if not self._waiting:
             self._sent_index = self._target_index
-        return DesiredUpdate(tuple(items), tuple(evacuations), self._sent_index)
+        return DesiredUpdate(
+            tuple(items),
+            tuple(evacuations),
+            self._sent_index,
+            lists_all=self._lists_all,
+            is_last=not self._waiting,
+        )
--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -10,6 +10,11 @@
 Version = NewType('Version', int)
 
 
+MAX_TOMBSTONES = 10_000
+"""Removed items that are remembered. Replicas of the state machine must forget
+the same ones, so this does not depend on the memory of a VM."""
+
+
 class ItemKind(Enum):
     """Kind of an item; names are unique within a kind."""
 
--- a/libraries/desired/plantainstand_desired/_state.py
+++ b/libraries/desired/plantainstand_desired/_state.py
@@ -6,7 +6,12 @@
 import msgspec
 from plantainstand_core import AvailabilityZoneId, LogIndex
 
-from plantainstand_desired._items import EvacuationItem, Item, ItemKey
+from plantainstand_desired._items import (
+    MAX_TOMBSTONES,
+    EvacuationItem,
+    Item,
+    ItemKey,
+)
 from plantainstand_desired._route_index import RouteIndex
 from plantainstand_desired._rules import item_problem
 
@@ -54,6 +59,7 @@
 class _StateSnapshot(msgspec.Struct, frozen=True):
     items: tuple[Item, ...]
     evacuations: tuple[EvacuationItem, ...]
+    forgotten_index: int = 0
 
 
 _COMMAND_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(
@@ -76,13 +82,15 @@
 class DesiredState:
     """State machine with the highest version of each item.
 
-    Tombstones of removed items are kept, so that an older version that arrives
-    late does not restore a removed item.
+    Tombstones of the items that were removed last are kept, so that an older
+    version that arrives late does not restore a removed item.
     """
 
     def __init__(self) -> None:
         """Start without items."""
         self._items: dict[ItemKey, Item] = {}
+        self._tombstones: dict[ItemKey, None] = {}
+        self._forgotten_index = LogIndex(0)
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
         self._routes = RouteIndex()
 
@@ -91,6 +99,20 @@
         """Items that are not removed."""
         return [each for each in self._items.values() if each.body is not None]
 
+    @property
+    def tombstone_count(self) -> int:
+        """Number of removed items that are remembered."""
+        return len(self._tombstones)
+
+    @property
+    def forgotten_index(self) -> LogIndex:
+        """Index through which removals may be forgotten.
+
+        A receiver that is complete up to a lower index has to be told all
+        items.
+        """
+        return self._forgotten_index
+
     @property
     def evacuations(self) -> Sequence[EvacuationItem]:
         """Newest command for each availability zone that ever had one."""
@@ -119,7 +141,9 @@
         """See ``StateMachine.snapshot``."""
         return msgspec.msgpack.encode(
             _StateSnapshot(
-                tuple(self._items.values()), tuple(self.evacuations)
+                tuple(self._items.values()),
+                tuple(self.evacuations),
+                self._forgotten_index,
             ),
         )
 
@@ -129,6 +153,10 @@
         self._items = {each.key: each for each in stored.items}
         self._routes = RouteIndex(stored.items)
         self._evacuations = {each.zone: each for each in stored.evacuations}
+        self._forgotten_index = LogIndex(stored.forgotten_index)
+        removed = [each for each in stored.items if each.body is None]
+        removed.sort(key=_index)
+        self._tombstones = dict.fromkeys(each.key for each in removed)
 
     def _set_evacuation(
         self,
@@ -175,8 +203,26 @@
             return ChangeOutcome(Verdict.INVALID, problem)
         self._routes.apply_changes(self._items, newer)
         self._items.update(newer)
+        self._update_tombstones(newer)
         return ChangeOutcome(Verdict.ACCEPTED, changed=len(newer))
 
+    def _update_tombstones(self, newer: dict[ItemKey, Item]) -> None:
+        for key, item in newer.items():
+            self._tombstones.pop(key, None)
+            if item.body is None:
+                self._tombstones[key] = None
+        while len(self._tombstones) > MAX_TOMBSTONES:
+            oldest = next(iter(self._tombstones))
+            self._tombstones.pop(oldest)
+            forgotten = self._items.pop(oldest)
+            self._forgotten_index = LogIndex(
+                max(self._forgotten_index, forgotten.index)
+            )
+
+
+def _index(item: Item) -> int:
+    return item.index
+
 
 def _has_other_content(change: Item, current: Item) -> bool:
     return (change.body, change.document) != (current.body, current.document)
--- a/libraries/desired/plantainstand_desired/_view.py
+++ b/libraries/desired/plantainstand_desired/_view.py
@@ -1,12 +1,14 @@
 """The desired state on an entry VM, merged from several control VMs."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
 from plantainstand_core import AvailabilityZoneId, LogIndex, RegionId, ServiceId
 
 from plantainstand_desired._items import (
+    MAX_TOMBSTONES,
     EvacuationItem,
     IngressLimits,
     Item,
@@ -47,6 +49,7 @@
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
         self._routes_by_host: dict[str, tuple[RouteMatch, ...]] | None = {}
         self._index = LogIndex(0)
+        self._forgotten_index = LogIndex(-1)
 
     @property
     def index(self) -> LogIndex:
@@ -111,6 +114,9 @@
         changed_items = [each for each in items if self._is_newer_item(each)]
         for item in changed_items:
             self._items[item.key] = item
+        self._index = max(self._index, through)
+        if any(each.body is None for each in changed_items):
+            self._forget_tombstones()
         if ItemKind.ROUTE in {each.kind for each in changed_items}:
             self._routes_by_host = None
         changed_evacuations = [
@@ -118,9 +124,27 @@
         ]
         for evacuation in changed_evacuations:
             self._evacuations[evacuation.zone] = evacuation
-        self._index = max(self._index, through)
         return bool(changed_items or changed_evacuations)
 
+    def remove_unlisted(
+        self, listed: Collection[ItemKey], through: LogIndex
+    ) -> bool:
+        """Remove all items up to a log index that are not listed.
+
+        ``listed`` are the items of a whole state at that index. Return whether
+        anything was removed.
+        """
+        removed = [
+            msgspec.structs.replace(each, body=None, document=b'')
+            for each in self._items.values()
+            if each.body is not None
+            and each.index <= through
+            and each.key not in listed
+        ]
+        self._items.update((each.key, each) for each in removed)
+        self._routes_by_host = None
+        return bool(removed)
+
     def match(self, host: str, path: str) -> RouteMatch | None:
         """Return the route with the longest path prefix that matches.
 
@@ -135,7 +159,24 @@
 
     def _is_newer_item(self, item: Item) -> bool:
         current = self._items.get(item.key)
-        return current is None or item.version > current.version
+        if current is None:
+            # The view was complete up to this index when it forgot a removed
+            # item, so an unknown one of that time is that item.
+            return item.index > self._forgotten_index
+        return item.version > current.version
+
+    def _forget_tombstones(self) -> None:
+        removed = [
+            each
+            for each in self._items.values()
+            if each.body is None and each.index <= self._index
+        ]
+        if len(removed) <= MAX_TOMBSTONES:
+            return
+        removed.sort(key=lambda each: each.index)
+        for forgotten in removed[: len(removed) - MAX_TOMBSTONES]:
+            self._items.pop(forgotten.key)
+            self._forgotten_index = LogIndex(forgotten.index)
 
     def _is_later_evacuation(self, evacuation: EvacuationItem) -> bool:
         current = self._evacuations.get(evacuation.zone)
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -7,7 +7,7 @@
 
 import structlog
 from plantainstand_core import Clock, LogIndex, VmId
-from plantainstand_desired import DesiredView
+from plantainstand_desired import DesiredView, ItemKey
 from plantainstand_fleet import (
     ControlVm,
     DesiredUpdate,
@@ -75,6 +75,7 @@
         self._rosters: dict[VmId, frozenset[ControlVm]] = {}
         self._last_named_at: dict[VmId, timedelta] = {}
         self._seeds = settings.seeds
+        self._listed: dict[VmId, set[ItemKey]] = {}
 
     @property
     def connected_count(self) -> int:
@@ -177,6 +178,7 @@
         # Control VMs send a roster only when it changes, so the times at which
         # it named its control VMs are renewed when the link is lost.
         self._record_named(self._rosters.pop(vm, frozenset()))
+        self._listed.pop(vm, None)
         self._state.target_table.remove_source(vm)
         self._state.fleet_view.remove_source(vm)
         _log.info('control VM lost', control=vm, connected=self.connected_count)
@@ -204,11 +206,12 @@
                 _log.warning('unexpected message', control=vm)
 
     def _apply_desired(self, vm: VmId, update: DesiredUpdate) -> None:
+        through = LogIndex(update.complete_through)
         changed = self._state.desired_view.merge(
-            update.items,
-            update.evacuations,
-            LogIndex(update.complete_through),
+            update.items, update.evacuations, through
         )
+        if update.lists_all:
+            changed |= self._remove_unlisted(vm, update)
         if changed:
             _log.info(
                 'desired state changed',
@@ -223,6 +226,17 @@
             )
             self._on_change()
 
+    def _remove_unlisted(self, vm: VmId, update: DesiredUpdate) -> bool:
+        """Note what is listed; with the last update, remove what is not."""
+        listed = self._listed.setdefault(vm, set())
+        listed.update(item.key for item in update.items)
+        if not update.is_last:
+            return False
+        self._listed.pop(vm)
+        return self._state.desired_view.remove_unlisted(
+            listed, LogIndex(update.complete_through)
+        )
+
     def _apply_roster(self, vm: VmId, roster: Roster) -> None:
         self._rosters[vm] = frozenset(roster.controls)
         self._record_named(roster.controls)
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -113,6 +113,13 @@
     complete_through: int
     """Log index up to which the receiver is complete with this update."""
 
+    lists_all: bool = False
+    """Whether this update is one of those that list all items; others were
+    removed."""
+
+    is_last: bool = True
+    """Whether no further one of these updates follows."""
+
 
 class EntryChanges(_Message, frozen=True):
     """Changed reports of entry VMs, sent from one control VM to the others."""
--- a/tests/control/test_large_state.py
+++ b/tests/control/test_large_state.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any, cast
 
+import msgspec
 from plantainstand_control._publishing import UPDATE_BYTES, DesiredTransfer
 from plantainstand_core import LogIndex
 from plantainstand_desired import (
@@ -10,20 +11,33 @@
     DesiredState,
     DesiredView,
     Item,
+    ItemKey,
     encode_command,
 )
+from plantainstand_desired._items import MAX_TOMBSTONES
 from plantainstand_fleet import DesiredUpdate, decode_fleet_message
 
-from tests.desired.builders import route_item, service_item
+from tests.desired.builders import removal, route_item, service_item
 
 _ROUTES = 2_000
 _MOST_FRAME_BYTES = 2 * UPDATE_BYTES
+_MOST_SNAPSHOT_BYTES = 150 * MAX_TOMBSTONES
 
 
 def _route(number: int, version: int) -> Item:
     return route_item(f'r{number}', version, prefix=f'/{number}/')
 
 
+def _removals(end: int, first: int = 0) -> ChangeItems:
+    return ChangeItems(
+        tuple(removal(f'r{each}', 9) for each in range(first, end))
+    )
+
+
+def _kept(item: Item, index: int) -> Item:
+    return msgspec.structs.replace(item, index=index)
+
+
 class _SlowLink:
     """Link that takes one frame at a time."""
 
@@ -92,6 +106,37 @@
         self.assertEqual((versions['r0'], versions[f'r{_ROUTES}']), (6, 1))
         self.assertEqual(self.view.index, 8)
 
+    def test_removals_that_are_forgotten(self) -> None:
+        """Guards against removed routes that a VM which was away keeps.
+
+        The control VM remembers a bounded number of removals only, so it lists
+        all items to a VM that may have missed one.
+        """
+        self.transfer = DesiredTransfer(LogIndex(6))
+        self.state.apply(LogIndex(8), encode_command(_removals(_ROUTES)))
+        for index in range(9, 30):
+            names = range(index * 1_000, (index + 1) * 1_000)
+            added = ChangeItems(tuple(_route(each, 1) for each in names))
+            self.state.apply(LogIndex(index), encode_command(added))
+            removed = _removals((index + 1) * 1_000, index * 1_000)
+            self.state.apply(LogIndex(index), encode_command(removed))
+        self.assertEqual(self.state.tombstone_count, MAX_TOMBSTONES)
+        self.assertLess(len(self.state.snapshot()), _MOST_SNAPSHOT_BYTES)
+        restored = DesiredState()
+        restored.restore(self.state.snapshot())
+        self.assertEqual(restored.forgotten_index, self.state.forgotten_index)
+        listed: set[ItemKey] = set()
+        while self.transfer.lacks(LogIndex(30)):
+            self._send(30)
+            update = decode_fleet_message(self.link.frames[-1]).unwrap()
+            assert isinstance(update, DesiredUpdate)
+            self.assertTrue(update.lists_all)
+            listed.update(item.key for item in update.items)
+            self._receive()
+        self.view.merge((_kept(_route(0, 5), 7),), (), LogIndex(7))
+        self.assertTrue(self.view.remove_unlisted(listed, LogIndex(30)))
+        self.assertIsNone(self.view.match('shop.example', '/0/'))
+
     def _send(self, index: int = 7) -> None:
         self.transfer.send(cast(Any, self.link), self.state, LogIndex(index))
 
