Desired state: a change beyond the size that a VM can hold is refused

What callers would see: an operator whose changes are all acknowledged until every core process passes memoryMb, and after that no control VM at all.

A change that was accepted is accepted again, and one that makes the state smaller is accepted above the limit. Only the leader decides, before the log, since the memory of VMs may differ.

--- a/libraries/control/plantainstand_control/__init__.py
+++ b/libraries/control/plantainstand_control/__init__.py
@@ -11,6 +11,7 @@
 from plantainstand_control._operator import (
     OperatorService,
     RedirectToLeader,
+    TooLarge,
     Unavailable,
 )
 from plantainstand_control._poller import ListProblem, ListReader, TargetList
@@ -28,6 +29,7 @@
     'MembershipView',
     'OperatorService',
     'TargetList',
+    'TooLarge',
     'Unavailable',
     'choose_entry_vms',
     'choose_members',
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -147,6 +147,7 @@
         self.operator = OperatorService(
             lambda: self._replicas.replica,
             lambda: self._state,
+            self._replicas.limits.entry_bytes,
         )
 
     def replace_seeds(self, seeds: Collection[VmId]) -> None:
--- a/libraries/control/plantainstand_control/_operator.py
+++ b/libraries/control/plantainstand_control/_operator.py
@@ -4,13 +4,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from plantainstand_consensus import LogReplica
+from plantainstand_consensus import LogReplica, TooLong
 from plantainstand_core import VmId
 from plantainstand_desired import (
     ChangeItems,
     ChangeOutcome,
     DesiredState,
-    Item,
     SetEvacuation,
     decode_outcome,
     encode_command,
@@ -36,7 +35,19 @@
     cause: str
 
 
-OperatorProblem = RedirectToLeader | Unavailable
+@dataclass(frozen=True)
+class TooLarge:
+    """The change, or the desired state with it, exceeds its limit.
+
+    The change has not taken effect.
+    """
+
+    size: int
+    limit: int
+    """Both in bytes."""
+
+
+OperatorProblem = RedirectToLeader | Unavailable | TooLarge
 
 
 class OperatorService:
@@ -46,14 +57,23 @@
         self,
         replica: Callable[[], LogReplica | None],
         state: Callable[[], DesiredState],
+        max_state_bytes: int,
     ):
         """Call ``replica`` and ``state`` for each call of the operator.
 
-        Both are replaced when the disk is opened again.
+        Both are replaced when the disk is opened again. A change that takes
+        the desired state above ``max_state_bytes`` is refused by the leader
+        alone, since the memory of VMs may differ.
         """
+        self._max_state_bytes = max_state_bytes
         self._replica = replica
         self._state = state
 
+    @property
+    def max_state_bytes(self) -> int:
+        """Size that the desired state, or one change, may have."""
+        return self._max_state_bytes
+
     async def execute_command(
         self,
         command: ChangeItems | SetEvacuation,
@@ -66,23 +86,40 @@
         replica = self._leading_replica()
         if isinstance(replica, Err):
             return replica
+        problem = self._size_problem(command)
+        if problem is not None:
+            return Err(problem)
         outcome = await replica.ok_value.propose(
             encode_command(command),
             COMMAND_TIMEOUT,
         )
-        if isinstance(outcome, Err):
-            return Err(Unavailable(str(outcome.err_value)))
-        return Ok(decode_outcome(outcome.ok_value))
-
-    async def read_items(self) -> Result[list[Item], OperatorProblem]:
-        """Return all items that are not removed, as of this call or later."""
+        if not isinstance(outcome, Err):
+            return Ok(decode_outcome(outcome.ok_value))
+        if isinstance(outcome.err_value, TooLong):
+            refused = outcome.err_value
+            return Err(TooLarge(refused.length, refused.limit))
+        return Err(Unavailable(str(outcome.err_value)))
+
+    async def read_state(self) -> Result[DesiredState, OperatorProblem]:
+        """Return the desired state, as of this call or later."""
         replica = self._leading_replica()
         if isinstance(replica, Err):
             return replica
         current = await replica.ok_value.read_barrier(COMMAND_TIMEOUT)
         if isinstance(current, Err):
             return Err(Unavailable(str(current.err_value)))
-        return Ok(list(self._state().current_items))
+        return Ok(self._state())
+
+    def _size_problem(
+        self, command: ChangeItems | SetEvacuation
+    ) -> TooLarge | None:
+        if not isinstance(command, ChangeItems):
+            return None
+        state = self._state()
+        size = state.size_after(command.items)
+        limit = self._max_state_bytes
+        # What removes more than it adds is welcome above the limit too.
+        return TooLarge(size, limit) if size > max(limit, state.size) else None
 
     def _leading_replica(self) -> Result[LogReplica, OperatorProblem]:
         replica = self._replica()
--- a/libraries/desired/plantainstand_desired/_state.py
+++ b/libraries/desired/plantainstand_desired/_state.py
@@ -1,6 +1,6 @@
 """Replicated state machine of the desired state."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import Enum
 
 import msgspec
@@ -93,6 +93,18 @@
         self._forgotten_index = LogIndex(0)
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
         self._routes = RouteIndex()
+        self._size = 0
+        self._index = LogIndex(0)
+
+    @property
+    def index(self) -> LogIndex:
+        """Log index of the newest change."""
+        return self._index
+
+    @property
+    def size(self) -> int:
+        """Approximate length in bytes when encoded, with tombstones."""
+        return self._size
 
     @property
     def current_items(self) -> Sequence[Item]:
@@ -128,6 +140,13 @@
             each for each in self._evacuations.values() if each.index > index
         ]
 
+    def size_after(self, changes: Iterable[Item]) -> int:
+        """Return the size that the state has once changes are in force."""
+        newer = {
+            each.key: each for each in changes if _is_newer(self._items, each)
+        }
+        return self._size + _added_size(self._items, newer)
+
     def apply(self, index: LogIndex, payload: bytes) -> bytes:
         """See ``StateMachine.apply`` of the replicated log."""
         command = _COMMAND_DECODER.decode(payload)
@@ -155,8 +174,12 @@
         self._evacuations = {each.zone: each for each in stored.evacuations}
         self._forgotten_index = LogIndex(stored.forgotten_index)
         removed = [each for each in stored.items if each.body is None]
-        removed.sort(key=_index)
+        removed.sort(key=lambda each: each.index)
         self._tombstones = dict.fromkeys(each.key for each in removed)
+        self._size = sum(each.size for each in stored.items)
+        indexes = [each.index for each in stored.items]
+        indexes.extend(each.index for each in stored.evacuations)
+        self._index = LogIndex(max(indexes, default=0))
 
     def _set_evacuation(
         self,
@@ -166,6 +189,7 @@
         current = self._evacuations.get(command.zone)
         if current is not None and current.active == command.active:
             return ChangeOutcome(Verdict.ACCEPTED)
+        self._index = index
         self._evacuations[command.zone] = EvacuationItem(
             command.zone,
             command.active,
@@ -181,14 +205,12 @@
         newer: dict[ItemKey, Item] = {}
         for change in changes:
             current = self._items.get(change.key)
-            if current is None or change.version > current.version:
+            if _is_newer(self._items, change):
                 newer[change.key] = msgspec.structs.replace(
                     change,
                     index=index,
                 )
-            elif change.version == current.version and _has_other_content(
-                change, current
-            ):
+            elif current is not None and _is_conflict(change, current):
                 return ChangeOutcome(
                     Verdict.CONFLICT,
                     f'{change.kind.value} {change.name} has other content'
@@ -202,6 +224,9 @@
         if problem is not None:
             return ChangeOutcome(Verdict.INVALID, problem)
         self._routes.apply_changes(self._items, newer)
+        self._size += _added_size(self._items, newer)
+        for item in newer.values():
+            self._index = LogIndex(item.index)
         self._items.update(newer)
         self._update_tombstones(newer)
         return ChangeOutcome(Verdict.ACCEPTED, changed=len(newer))
@@ -215,14 +240,28 @@
             oldest = next(iter(self._tombstones))
             self._tombstones.pop(oldest)
             forgotten = self._items.pop(oldest)
+            self._size -= forgotten.size
             self._forgotten_index = LogIndex(
                 max(self._forgotten_index, forgotten.index)
             )
 
 
-def _index(item: Item) -> int:
-    return item.index
+def _is_conflict(change: Item, current: Item) -> bool:
+    has_other_content = (change.body, change.document) != (
+        current.body,
+        current.document,
+    )
+    return change.version == current.version and has_other_content
+
+
+def _is_newer(items: Mapping[ItemKey, Item], change: Item) -> bool:
+    current = items.get(change.key)
+    return current is None or change.version > current.version
 
 
-def _has_other_content(change: Item, current: Item) -> bool:
-    return (change.body, change.document) != (current.body, current.document)
+def _added_size(
+    items: Mapping[ItemKey, Item], newer: Mapping[ItemKey, Item]
+) -> int:
+    replaced = (items.get(key) for key in newer)
+    removed_size = sum(each.size for each in replaced if each is not None)
+    return sum(each.size for each in newer.values()) - removed_size
--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -20,10 +20,6 @@
 
 _log = structlog.get_logger()
 
-MAX_BUFFERED_BODY_BYTES = 80 * 1024 * 1024
-"""Total size of the request bodies that one server buffers: the largest usual
-body and some smaller ones."""
-
 MAX_FRAMING_BYTES = 64 * 1024
 """Longest run of bytes of a request without body content: chunk extensions and
 trailers, which have no end of their own."""
@@ -183,7 +179,8 @@
         held = self._reader.body_bytes + self._pipeline.body_bytes
         self._server.buffered_body_bytes += held - self._own_buffered_bytes
         self._own_buffered_bytes = held
-        is_full = self._server.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+        server = self._server
+        is_full = server.buffered_body_bytes > server.limits.buffered_body_bytes
         return is_full and self._reader.body_bytes > 0
 
     def _handle_progress(self) -> None:
--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -25,6 +25,10 @@
 be lost."""
 
 
+MAX_WRITE_BYTES = 256 * 1024
+"""Length of one write of a whole response. The transport holds at most one
+beside its send buffer, however slowly the client reads."""
+
 MIN_PROGRESS_BYTES = 4096
 """Bytes that a client with more to read must read within the idle timeout."""
 
@@ -72,10 +76,10 @@
         """Send a response; return False if its body was truncated."""
         if response.rest is None:
             head_only = request.method == b'HEAD'
-            self._write(
-                encode_response(response, close=close, head_only=head_only),
+            encoded = encode_response(
+                response, close=close, head_only=head_only
             )
-            return True
+            return await self._send_whole(encoded)
         unsized = stated_length(response) is None
         chunked = unsized and request.accepts_chunked
         framed = chunked or not unsized
@@ -118,6 +122,15 @@
         elif self._close_at is not None and now > self._close_at:
             self._transport.close()
 
+    async def _send_whole(self, encoded: bytes) -> bool:
+        # The transport copies what it cannot send at once.
+        for start in range(0, len(encoded), MAX_WRITE_BYTES):
+            await self._writable.wait()
+            if self._transport.is_closing():
+                return False
+            self._write(encoded[start : start + MAX_WRITE_BYTES])
+        return True
+
     async def _send_rest(self, rest: BodyStream, *, chunked: bool) -> bool:
         while True:
             part = await rest.next_part()
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -37,6 +37,10 @@
     idle_timeout: timedelta = timedelta(seconds=75)
     """Longest time without bytes between requests or within a body."""
 
+    buffered_body_bytes: int = 80 * 1024 * 1024
+    """Total size of the request bodies that one server holds: the largest usual
+    body and some smaller ones."""
+
 
 class OpenConnection(Protocol):
     """Interface of a connection to its server."""
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -8,6 +8,7 @@
 from plantainstand_core import SystemClock
 from plantainstand_http import (
     BodyStream,
+    ClientLimits,
     ExchangeFailure,
     FailureKind,
     HttpServer,
@@ -301,16 +302,13 @@
 
     async def test_bodies_of_all_clients_are_bounded(self) -> None:
         """Many large bodies at once must not exhaust the memory."""
-        with patch(
-            'plantainstand_http._client_connection.MAX_BUFFERED_BODY_BYTES',
-            100_000,
-        ):
-            reader, writer = await self.connect()
-            writer.write(
-                b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\n\r\n',
-            )
-            writer.write(bytes(200_000))
-            head, _body = await _read_answer(reader)
+        self.server.limits = ClientLimits(buffered_body_bytes=100_000)
+        reader, writer = await self.connect()
+        writer.write(
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 900000\r\n\r\n',
+        )
+        writer.write(bytes(200_000))
+        head, _body = await _read_answer(reader)
         self.assertIn(b' 503 ', head)
         self.assertIn(b'retry-after', head)
         self.assertEqual(self.application.started, [])
--- a/tests/http/test_slow_clients.py
+++ b/tests/http/test_slow_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 
 from plantainstand_core import ManualClock
@@ -10,6 +11,9 @@
 from plantainstand_http._pacing import PieceBudget
 from plantainstand_http._pipeline import ServerState
 
+_HIGH_WATER_BYTES = 65_536
+"""Unsent bytes above which a transport of asyncio pauses its protocol."""
+
 
 class SlowClientTests(unittest.IsolatedAsyncioTestCase):
     """Each byte in time is not enough: the whole has a deadline."""
@@ -23,7 +27,7 @@
         )
         state.limits = ClientLimits(idle_timeout=timedelta(seconds=15))
         self.connection = ClientConnection(state, self.clock)
-        self.transport = _Transport()
+        self.transport = _Transport(self.connection.pause_writing)
         self.connection.connection_made(self.transport)
 
     async def test_body(self) -> None:
@@ -47,6 +51,21 @@
             self._advance_second()
         self.assertTrue(self.transport.is_aborted)
 
+    async def test_large_response(self) -> None:
+        """Guards against a copy of a large answer for each slow client."""
+        self.body = bytes(10_000_000)
+        self.connection.data_received(b'GET / HTTP/1.1\r\n\r\n')
+        reads = 0
+        while len(self.transport.written) < len(self.body):
+            for _ in range(5):
+                await asyncio.sleep(0)
+            reads += 1
+            self.assertLess(self.transport.unsent_bytes, 400_000)
+            self.assertLess(reads, 200)
+            self.transport.unsent_bytes = 0
+            self.connection.resume_writing()
+        self.assertGreater(reads, 20)
+
     def _advance_second(self) -> None:
         self.clock.advance(timedelta(seconds=1))
         self.connection.check_timeouts(self.clock.monotonic())
@@ -58,8 +77,9 @@
 class _Transport(asyncio.Transport):
     """Transport to a client that reads only what the test says."""
 
-    def __init__(self) -> None:
+    def __init__(self, pause_writing: Callable[[], None]) -> None:
         super().__init__()
+        self._pause_writing = pause_writing
         self.written = bytearray()
         self.unsent_bytes = 0
         self.is_aborted = False
@@ -68,6 +88,8 @@
         """Keep what is written."""
         self.written += payload
         self.unsent_bytes += len(payload)
+        if self.unsent_bytes > _HIGH_WATER_BYTES:
+            self._pause_writing()
 
     def get_write_buffer_size(self) -> int:
         """Return what the client has not read."""
