Target list: a page costs a bounded share of the event loop

What callers would see: a control VM that stands still for seconds while it reads a list with many tiny entries, and links that are opened again.

--- a/tests/platform_adapter/test_targets.py
+++ b/tests/platform_adapter/test_targets.py
@@ -1,20 +1,24 @@
 """Target list, in which other programs write entries too, and settings."""
 
+import asyncio
 import json
+import time
 import unittest
 from collections.abc import Mapping
+from contextlib import AsyncExitStack
 from datetime import timedelta
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import MappingProxyType
 
 import msgspec
-from plantainstand_core import VmId
+from plantainstand_core import SystemClock, VmId
 from plantainstand_fleet import (
     TargetUpdate,
     decode_fleet_message,
     encode_fleet_message,
 )
+from plantainstand_http import HttpServer, Request, Response
 from plantainstand_placement import TargetTable
 from plantainstand_platform.entry_role import entry_settings
 from plantainstand_platform.pages import decode_page
@@ -22,7 +26,12 @@
     PlatformSettings,
     read_settings,
 )
-from plantainstand_platform.targets import decode_entry
+from plantainstand_platform.targets import (
+    ENTRY_BYTES_PER_TURN,
+    SKIPPED_ENTRY_BYTES,
+    build_list_reader,
+    decode_entry,
+)
 from result import Err
 
 _SETTINGS = """
@@ -54,6 +63,9 @@
 )
 
 
+_ENTRIES = 400_000
+
+
 def _nested(depth: int) -> str:
     return ''.join(('[' * depth, ']' * depth))
 
@@ -184,6 +196,53 @@
             self.assertIsInstance(decode_page(text.encode()), Err)
 
 
+class LongListTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a list that stops the process which reads it."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve a list whose pages the test sets."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.page = b''
+
+        async def respond(_request: Request) -> Response:
+            return Response(200, (), self.page)
+
+        server = HttpServer(respond, SystemClock())
+        await server.start('127.0.0.1', 0, self.stack)
+        listener = server._listener
+        assert listener is not None
+        port = listener.sockets[0].getsockname()[1]
+        settings = _read(_SETTINGS)
+        settings.cloud_api.address = f'127.0.0.1:{port}'
+        self.read_list = build_list_reader(settings, SystemClock())
+
+    async def test_many_entries(self) -> None:
+        """Other work gets turns, and the usable entry is found."""
+        self.page = b'{"instances":[%s%s]}' % (
+            b'0,' * _ENTRIES,
+            msgspec.json.encode(dict(_ENTRY)),
+        )
+        turns: list[float] = []
+
+        async def count_turns() -> None:
+            while True:
+                turns.append(time.monotonic())
+                await asyncio.sleep(0.001)
+
+        counting = asyncio.create_task(count_turns())
+        listed = (await self.read_list()).unwrap()
+        counting.cancel()
+        self.assertEqual([each.target for each in listed.entries], ['i-1'])
+        least_turns = _ENTRIES * SKIPPED_ENTRY_BYTES // ENTRY_BYTES_PER_TURN
+        self.assertGreater(len(turns), least_turns)
+
+    async def test_endless_page(self) -> None:
+        """A page that is too long is a problem, not a list without the rest."""
+        self.page = b'{"instances":[%s0]}' % (b'0,' * 1_000_000)
+        self.assertIsInstance(await self.read_list(), Err)
+
+
 class SettingsTests(unittest.TestCase):
     """Guards against settings that are misread or refused without reason."""
 
