plantainstandd: what a target sends without end ends at the deadline

The operators' report: a faulty target sent bytes that were no answer, without end, until the caller closed; the VM kept them all and ran out of memory.

In plantainstandd it could: health reports, cancellations, refusals and the platform's VM list were read whole, whatever their length; the line before a chunk had no limit; and the timeout of a read starts again with each byte, so interim answers, trailers or a trickle held a worker thread without end.

Test: test_bytes_without_end, ten forms, each as an answer and as a health report.

--- a/libraries/daemon/plantainstand_daemon/_dispatch.py
+++ b/libraries/daemon/plantainstand_daemon/_dispatch.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from http import HTTPStatus
 
+import msgspec
 import urllib3
 from plantainstand_core import RequestOutcome, TargetId
 from urllib3.exceptions import (
@@ -16,7 +17,7 @@
 )
 
 from plantainstand_daemon._messages import Answer, SteeredRequest
-from plantainstand_daemon._target_connection import TargetPool
+from plantainstand_daemon._target_connection import TargetPool, read_body
 
 REQUEST_ID_HEADER = 'Request-Id'
 DEADLINE_HEADER = 'Request-Deadline-Ms'
@@ -27,7 +28,7 @@
 # The target stops at the request's deadline; the margin lets its refusal or
 # answer arrive before reading stops.
 _READ_MARGIN_SECONDS = 0.2
-_READ_CHUNK_BYTES = 65536
+_SHORT_BODY_BYTES = 65536
 _NO_TIME = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
 _NOT_SENT_ERRORS = (NewConnectionError, ConnectTimeoutError, ClosedPoolError)
@@ -135,19 +136,9 @@
         because established connections to this target have gone silent.
         """
         self.close_connections(address)
-        try:
-            response = _new_pool(address).request(
-                'DELETE',
-                f'/requests/{request_id}',
-                timeout=_SHORT_CALL_TIMEOUT_SECONDS,
-                retries=False,
-            )
-            document = response.json()
-        except (HTTPError, OSError, ValueError):
-            return ''
-        if isinstance(document, dict):
-            return str(document.get('state', ''))
-        return ''
+        pool = _new_pool(address)
+        document = _call_json(pool, 'DELETE', f'/requests/{request_id}')
+        return '' if document is None else str(document.get('state', ''))
 
     def read_json(
         self,
@@ -158,17 +149,7 @@
 
         Returns ``None`` without a readable reply.
         """
-        try:
-            response = self._pool(address).request(
-                'GET',
-                path,
-                timeout=_SHORT_CALL_TIMEOUT_SECONDS,
-                retries=False,
-            )
-            document = response.json()
-        except (HTTPError, OSError, ValueError):
-            return None
-        return document if isinstance(document, dict) else None
+        return _call_json(self._pool(address), 'GET', path)
 
     def close_connections(self, address: TargetAddress) -> None:
         """Close the pooled connections to a target."""
@@ -222,6 +203,29 @@
     )
 
 
+def _call_json(
+    pool: TargetPool,
+    method: str,
+    path: str,
+) -> Mapping[str, object] | None:
+    try:
+        response = pool.urlopen(
+            method,
+            path,
+            timeout=_SHORT_CALL_TIMEOUT_SECONDS,
+            retries=False,
+            preload_content=False,
+        )
+    except (HTTPError, OSError):
+        return None
+    body = read_body(response, _SHORT_BODY_BYTES)
+    try:
+        document = msgspec.json.decode(body or b'')
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    return document if isinstance(document, dict) else None
+
+
 def _timeout(time_left: timedelta) -> urllib3.Timeout:
     return urllib3.Timeout(
         connect=min(_CONNECT_TIMEOUT_SECONDS, time_left.total_seconds()),
@@ -256,15 +260,13 @@
         response.close()
         return _unknown(f'{address.target} answered another request')
     if _reports_not_run(response):
-        response.drain_conn()
-        response.release_conn()
+        read_body(response, _SHORT_BODY_BYTES)
         return DispatchReport(
             DispatchOutcome.REFUSED,
             reason=f'{address.target} refused the request',
         )
-    body = _read_body(response, limits.response_bytes)
+    body = read_body(response, limits.response_bytes)
     if body is None:
-        response.close()
         return _unknown(f'the answer of {address.target} was cut or too large')
     return DispatchReport(
         DispatchOutcome.ANSWERED,
@@ -280,22 +282,6 @@
     )
 
 
-def _read_body(
-    response: urllib3.BaseHTTPResponse,
-    limit_bytes: int,
-) -> bytes | None:
-    chunks = bytearray()
-    try:
-        for chunk in response.stream(_READ_CHUNK_BYTES, decode_content=False):
-            chunks.extend(chunk)
-            if len(chunks) > limit_bytes:
-                return None
-    except (HTTPError, OSError):
-        return None
-    response.release_conn()
-    return bytes(chunks)
-
-
 def _answer_headers(
     response: urllib3.BaseHTTPResponse,
 ) -> list[tuple[str, str]]:
--- a/libraries/daemon/plantainstand_daemon/_platform_poll.py
+++ b/libraries/daemon/plantainstand_daemon/_platform_poll.py
@@ -16,10 +16,12 @@
 from urllib3.exceptions import HTTPError
 
 from plantainstand_daemon._leader import Leader
+from plantainstand_daemon._target_connection import TargetPool, read_body
 from plantainstand_daemon._tasks import sleep
 
 _POLL_INTERVAL = timedelta(seconds=2)
 _TIMEOUT_SECONDS = 2.0
+_MAX_LIST_BYTES = 4_194_304
 
 
 class _ListedVm(msgspec.Struct, frozen=True):
@@ -38,11 +40,11 @@
 
     def __init__(self, url: str, leader: Leader, executor: Executor) -> None:
         """Read the list below ``url`` on threads of ``executor``."""
-        self._url = f'{url}/vms'
+        self._url = urllib3.util.parse_url(f'{url}/vms')
         self._leader = leader
         self._executor = executor
         self._list = PlatformList()
-        self._pool = urllib3.PoolManager()
+        self._pool = TargetPool(self._url.host or '', self._url.port)
 
     async def run(self) -> None:
         """Read the list at each interval, until cancelled."""
@@ -56,13 +58,15 @@
     def _read(self) -> PlatformSnapshot | None:
         """Read the list; return ``None`` if it is unreachable or invalid."""
         try:
-            response = self._pool.request(
+            response = self._pool.urlopen(
                 'GET',
-                self._url,
+                self._url.request_uri,
                 timeout=_TIMEOUT_SECONDS,
                 retries=False,
+                preload_content=False,
             )
-            document = msgspec.json.decode(response.data, type=_VmListDocument)
+            body = read_body(response, _MAX_LIST_BYTES)
+            document = msgspec.json.decode(body or b'', type=_VmListDocument)
         except (HTTPError, OSError, msgspec.DecodeError):
             return None
         return PlatformSnapshot(
--- a/tests/daemon/stub_target.py
+++ b/tests/daemon/stub_target.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 from collections.abc import Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 
 Script = Callable[[str], bytes | None]
 """Maps a request id to the raw response; ``None`` sends nothing."""
@@ -43,6 +43,34 @@
         yield server.getsockname()[1]
 
 
+@contextmanager
+def run_endless(head: bytes, pieces: bytes) -> Iterator[int]:
+    """Answer with ``head`` and then ``pieces`` until the caller closes."""
+
+    def answer(connection: socket.socket) -> None:
+        with connection, suppress(OSError):
+            connection.recv(65536)
+            connection.sendall(head)
+            while True:  # noqa: WPS457
+                connection.sendall(pieces)
+
+    def serve() -> None:
+        with suppress(OSError):
+            while True:  # noqa: WPS457
+                connection, _address = server.accept()
+                threading.Thread(
+                    target=answer, args=(connection,), daemon=True
+                ).start()
+
+    with ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(server.shutdown, socket.SHUT_RDWR)
+        yield server.getsockname()[1]
+
+
 def _serve(
     server: socket.socket,
     script: Script,
--- a/tests/daemon/test_dispatch.py
+++ b/tests/daemon/test_dispatch.py
@@ -1,6 +1,10 @@
 """Outcomes of attempts at targets."""
 
+import time
+import tracemalloc
 import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 from plantainstand_core import RequestId, ServiceId, TargetId
@@ -13,11 +17,20 @@
 )
 from plantainstand_daemon._messages import SteeredRequest
 
-from tests.daemon.stub_target import Script, response, run_target
+from tests.daemon.stub_target import (
+    Script,
+    response,
+    run_endless,
+    run_target,
+)
 
 _ID = '01a23f8f-9028-7063-afa9-625233731377'
 _LIMITS = AttemptLimits(response_bytes=100, may_reuse_connection=True)
 _TIME_LEFT = timedelta(milliseconds=100)
+_MOST_MEMORY_BYTES = 1_000_000
+_MOST_SECONDS = 2.0
+"""The longest deadline here, 1 s, and time for a busy machine."""
+
 _NOT_RUN = 'Request-Outcome: not-run\r\n'
 _UNAVAILABLE = '503 Service Unavailable'
 
@@ -102,6 +115,48 @@
                     outcome = self._send(port).outcome
                     self.assertIs(outcome, DispatchOutcome.UNKNOWN)
 
+    def test_bytes_without_end(self) -> None:
+        """They end at the deadline and take little memory.
+
+        Guards against a target that takes the VM's memory or its threads.
+        """
+        whole = f'HTTP/1.1 200 OK\r\nRequest-Id: {_ID}\r\n'
+        chunked = f'{whole}Transfer-Encoding: chunked\r\n\r\n'
+        refused = f'HTTP/1.1 {_UNAVAILABLE}\r\nRequest-Id: {_ID}\r\n{_NOT_RUN}'
+        cases = (
+            ('interim answers', '', 'HTTP/1.1 100 Continue\r\n\r\n'),
+            ('status line', '', 'HTTP/1.1 200 x'),
+            ('header', f'{whole}A: ', 'x'),
+            ('headers', whole, 'A: b\r\n'),
+            ('body', f'{whole}\r\n', 'x'),
+            ('chunks of one byte', chunked, '1\r\nx\r\n'),
+            ('chunk size', chunked, '0'),
+            ('chunk extension', f'{chunked}1;a=', 'x'),
+            ('trailers', f'{chunked}0\r\n', 'A: b\r\n'),
+            ('refusal', f'{refused}\r\n', 'x'),
+        )
+        for name, head, piece in cases:
+            pieces = piece.encode() * 1_000
+            with self.subTest(name), run_endless(head.encode(), pieces) as port:
+                with self.assert_bounded():
+                    self._send(port)
+                with self.assert_bounded():
+                    address = TargetAddress(TargetId('x'), '127.0.0.1', port, 9)
+                    self.assertIsNone(self.client.read_json(address, '/health'))
+
+    @contextmanager
+    def assert_bounded(self) -> Iterator[None]:
+        """Fail if the block takes much memory or time."""
+        tracemalloc.start()
+        began = time.monotonic()
+        try:
+            yield
+            _current, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak, _MOST_MEMORY_BYTES)
+        self.assertLess(time.monotonic() - began, _MOST_SECONDS)
+
     def test_refused_connection(self) -> None:
         """A refused connection proves that the request did not run."""
         with run_target(response) as port:
