--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -30,7 +30,7 @@
     decode_fleet_message,
     encode_fleet_message,
 )
-from plantainstand_http import HttpServer, Request, Response
+from plantainstand_http import SHORT_CALLS, HttpServer, Request, Response
 from plantainstand_links import Link, LinkCallbacks, LinkServer, LinkTimings
 from plantainstand_telemetry import Metrics
 from result import Err
@@ -74,6 +74,22 @@
         'plantainstand_control_peers': 'Live control VMs.',
         'plantainstand_control_applied_index': 'Newest applied log index.',
         'plantainstand_control_leading': 'Whether this VM leads the log.',
+        'plantainstand_control_log_bytes': 'Log entries in memory, in bytes.',
+        'plantainstand_control_journal_bytes': 'Log entries on disk, in bytes.',
+        'plantainstand_control_snapshot_bytes': 'Newest snapshot, in bytes.',
+        'plantainstand_control_state_bytes': (
+            'Desired state with tombstones, in bytes.'
+        ),
+        'plantainstand_control_state_limit_bytes': (
+            'Size that the desired state, or a change, may have, in bytes.'
+        ),
+        'plantainstand_control_tombstones': 'Removed items remembered.',
+        'plantainstand_control_unsent_bytes': (
+            'Bytes that other control VMs have yet to read.'
+        ),
+        'plantainstand_control_unsent_items': (
+            'Items of the desired state that entry VMs have yet to read.'
+        ),
     },
 )
 
@@ -143,7 +159,9 @@
         )
         self._desired_view = DesiredView()
         self._metrics = Metrics(METRIC_HELP)
-        self._metrics_server = HttpServer(self._answer_metrics, clock)
+        self._metrics_server = HttpServer(
+            self._answer_metrics, clock, limits=SHORT_CALLS
+        )
         self.operator = OperatorService(
             lambda: self._replicas.replica,
             lambda: self._state,
@@ -362,12 +380,31 @@
             'peers': len(self._peers.live_vms()),
             'applied_index': self._state_machine.index,
             'leading': self._replicas.leader == self._settings.vm,
+            'state_bytes': self._state.size,
+            'state_limit_bytes': self.operator.max_state_bytes,
+            'tombstones': self._state.tombstone_count,
+            'unsent_bytes': self._peers.unsent_bytes,
+            'unsent_items': sum(
+                peer.transfer.waiting_items
+                for peer in self._link_peers.values()
+            ),
+            **_log_readings(self._replicas.status),
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
         return Response(HTTPStatus.OK, (), self._metrics.render())
 
 
+def _log_readings(status: ReplicaStatus | None) -> dict[str, int]:
+    if status is None:
+        return {}
+    return {
+        'log_bytes': status.log_bytes,
+        'journal_bytes': status.journal_bytes,
+        'snapshot_bytes': status.snapshot_bytes,
+    }
+
+
 def _has_leader_contact(status: ReplicaStatus | None) -> bool:
     return status is not None and status.has_leader_contact
 
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -11,6 +11,7 @@
 from plantainstand_core import AvailabilityZoneId, Clock, VmId
 from plantainstand_desired import DesiredView
 from plantainstand_http import (
+    SHORT_CALLS,
     ClientLimits,
     HttpServer,
     Request,
@@ -86,6 +87,13 @@
             'Targets that want nothing from this VM for a while.'
         ),
         'plantainstand_entry_desired_index': 'Log index of the desired state.',
+        'plantainstand_entry_body_bytes': 'Request bodies held, in bytes.',
+        'plantainstand_entry_client_pauses': (
+            'Pauses in reading clients that send small pieces.'
+        ),
+        'plantainstand_entry_target_pauses': (
+            'Pauses in reading targets that send small pieces.'
+        ),
     },
 )
 
@@ -137,7 +145,9 @@
             clock,
             self._steering.may_overlap,
         )
-        self._status_server = HttpServer(self._answer_status, clock)
+        self._status_server = HttpServer(
+            self._answer_status, clock, limits=SHORT_CALLS
+        )
         self._links = ControlLinks(
             settings,
             ControlPlaneState(
@@ -289,6 +299,9 @@
             'paused_targets': self._target_table.paused_count(now),
             'limited_targets': self._target_limits.stated.limited_count(now),
             'desired_index': self._desired_view.index,
+            'body_bytes': self._server.buffered_body_bytes,
+            'client_pauses': self._server.pause_count,
+            'target_pauses': self._pool.pause_count,
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
--- a/libraries/http/plantainstand_http/__init__.py
+++ b/libraries/http/plantainstand_http/__init__.py
@@ -14,7 +14,7 @@
     header_value,
     json_response,
 )
-from plantainstand_http._pipeline import ClientLimits, Handler
+from plantainstand_http._pipeline import SHORT_CALLS, ClientLimits, Handler
 from plantainstand_http._server import HttpServer
 from plantainstand_http._stream import (
     BodyStream,
@@ -26,6 +26,7 @@
 
 __all__ = (
     'CONNECT_TIMEOUT',
+    'SHORT_CALLS',
     'TargetResponse',
     'BodyStream',
     'ClientLimits',
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -42,6 +42,13 @@
     body and some smaller ones."""
 
 
+SHORT_CALLS = ClientLimits(
+    body_bytes=65_536,
+    buffered_body_bytes=1024 * 1024,
+)
+"""Limits of a server whose calls have next to no body."""
+
+
 class OpenConnection(Protocol):
     """Interface of a connection to its server."""
 
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -28,14 +28,18 @@
         handler: Handler,
         clock: Clock,
         may_overlap: Callable[[Request], bool] | None = None,
+        limits: ClientLimits | None = None,
     ):
-        """Serve with default limits until :attr:`limits` is set.
+        """Serve with default limits, if none are given or set later.
 
         ``may_overlap`` tells which pipelined requests may be handled before the
         preceding ones have their responses; without it, none.
         """
         self._state = ServerState(
-            handler, may_overlap or _never, PieceBudget(clock)
+            handler,
+            may_overlap or _never,
+            PieceBudget(clock),
+            limits or ClientLimits(),
         )
         self._clock = clock
         self._listener: asyncio.Server | None = None
@@ -49,6 +53,11 @@
     def limits(self, limits: ClientLimits) -> None:
         self._state.limits = limits
 
+    @property
+    def buffered_body_bytes(self) -> int:
+        """Request bodies that are held now."""
+        return self._state.buffered_body_bytes
+
     @property
     def pause_count(self) -> int:
         """How often a client that sends small pieces was not read."""
