--- a/libraries/consensus/plantainstand_consensus/_applying.py
+++ b/libraries/consensus/plantainstand_consensus/_applying.py
@@ -67,7 +67,7 @@
         snapshot_index = log.snapshot.index if log.snapshot else 0
         snapshot_bytes = len(log.snapshot.payload) if log.snapshot else 0
         # A disk that hangs must not collect one snapshot after the other.
-        if state.outbox.durable_index < state.delivered_index:
+        if state.outbox.has_unsynced_snapshot:
             return False
         applied_bytes = log.size_between(snapshot_index, state.delivered_index)
         return (
--- a/libraries/consensus/plantainstand_consensus/_effects.py
+++ b/libraries/consensus/plantainstand_consensus/_effects.py
@@ -82,8 +82,14 @@
         self._effects = Effects()
         self._sequence = 0
         self._unsynced_hard_state = 0
+        self._unsynced_snapshot = 0
         self._unsynced_batches: list[tuple[int, int]] = []
 
+    @property
+    def has_unsynced_snapshot(self) -> bool:
+        """Whether a snapshot is still to be written."""
+        return bool(self._unsynced_snapshot)
+
     def send(self, destination: VmId, message: Message) -> None:
         """Send at once, or after the sync if term or vote are not durable."""
         outgoing = (destination, message)
@@ -97,6 +103,8 @@
         self._effects.writes.append(write)
         if isinstance(write, WriteHardState):
             self._unsynced_hard_state = self._sequence + 1
+        if isinstance(write, WriteSnapshot):
+            self._unsynced_snapshot = self._sequence + 1
         if isinstance(write, TruncateEntries):
             self._limit_durable_before(write.first_index)
 
@@ -127,6 +135,8 @@
             self.durable_index = max(self.durable_index, last_index)
         if sequence >= self._unsynced_hard_state:
             self._unsynced_hard_state = 0
+        if sequence >= self._unsynced_snapshot:
+            self._unsynced_snapshot = 0
 
     def _limit_durable_before(self, index: int) -> None:
         # Unsynced batches may contain entries that a later write removes.
--- a/tests/consensus/simulated_replicas.py
+++ b/tests/consensus/simulated_replicas.py
@@ -134,6 +134,7 @@
         self.tasks: dict[VmId, asyncio.Task[None]] = {}
         self.disconnected: set[VmId] = set()
         self.sync_seconds: float = 0
+        self.slow_disks: set[VmId] = set(VMS)
 
     def start(self, vm: VmId) -> None:
         loop = asyncio.get_running_loop()
@@ -146,7 +147,7 @@
             random_source=random.Random(vm),
             snapshot_interval_entries=self.snapshot_interval_entries,
             retained_entries=self.retained_entries,
-            run_blocking=self.run_slowly,
+            run_blocking=lambda action: self.run_slowly(vm, action),
         )
         self.replicas[vm] = LogReplica(
             storage.unwrap(),
@@ -156,8 +157,9 @@
         )
         self.tasks[vm] = asyncio.create_task(self.replicas[vm].run())
 
-    async def run_slowly(self, action: Callable[[], None]) -> None:
-        await asyncio.sleep(self.sync_seconds)
+    async def run_slowly(self, vm: VmId, action: Callable[[], None]) -> None:
+        if vm in self.slow_disks:
+            await asyncio.sleep(self.sync_seconds)
         await run_without_thread(action)
 
     async def stop(self, vm: VmId) -> None:
--- a/tests/consensus/test_long_commands.py
+++ b/tests/consensus/test_long_commands.py
@@ -42,13 +42,18 @@
     return replicas
 
 
-async def _execute_commands(cluster: SimulatedReplicas) -> None:
+async def _execute_commands(
+    cluster: SimulatedReplicas, count: int = _COMMANDS
+) -> None:
     leader = await cluster.leader()
-    for number in range(_COMMANDS):
+    for number in range(count):
         command = number.to_bytes(4, 'big') * (_COMMAND_BYTES // 4)
         (await leader.propose(command, TIMEOUT)).unwrap()
 
 
+_MOST_LOG_BYTES = 2 * (_LIMITS.snapshot_interval_bytes + _LIMITS.retained_bytes)
+
+
 class LongCommandsTest(unittest.TestCase):
     """Guards against work that grows with the bytes of the history."""
 
@@ -107,3 +112,23 @@
             self.assertEqual(problems, {TimedOut: 2, Overloaded: 7})
 
         run_with_replicas(test, _replicas())
+
+    def test_slow_disk(self) -> None:
+        """Guards against a log that grows while its own disk lags behind.
+
+        The other voters commit without this disk, so there is always an entry
+        that it has not synced.
+        """
+
+        async def test(cluster: SimulatedReplicas) -> None:
+            leader = await cluster.leader()
+            vm = leader.status().node.vm
+            cluster.slow_disks = {vm}
+            cluster.sync_seconds = 0.3
+            worker_count = 8
+            await asyncio.gather(
+                *(_execute_commands(cluster, 100) for _ in range(worker_count))
+            )
+            self.assertLess(leader.status().log_bytes, _MOST_LOG_BYTES)
+
+        run_with_replicas(test, _replicas())
