--- a/libraries/control/plantainstand_control/_peers.py
+++ b/libraries/control/plantainstand_control/_peers.py
@@ -24,6 +24,10 @@
 MAX_UNSENT_LOG_BYTES = 1024 * 1024
 """Unread bytes on a link above which messages of the log are dropped."""
 
+MAX_UNSENT_BYTES = 12 * 1024 * 1024
+"""Unread bytes on a link above which it is closed: more than the messages of
+the log and the longest entry take."""
+
 PEER_RETENTION = timedelta(seconds=30)
 """Time for which connections to a control VM are attempted after any control
 VM last had a message from it."""
@@ -184,7 +188,9 @@
             closed=lambda _link: None,
         )
         address = f'{vm}:{self._settings.link_port}'
-        link = OutgoingLink(address, events, self._clock, LinkTimings())
+        link = OutgoingLink(
+            address, events, self._clock, LinkTimings(), MAX_UNSENT_BYTES
+        )
         self._links[vm] = link
         self._tasks[vm] = asyncio.get_running_loop().create_task(link.run())
 
--- a/libraries/links/plantainstand_links/_link.py
+++ b/libraries/links/plantainstand_links/_link.py
@@ -17,7 +17,7 @@
 MAX_FRAMES_PER_TURN = 256
 """Frames that are delivered before other connections get a turn."""
 
-MAX_UNSENT_BYTES = 8 * 1024 * 1024
+MAX_UNSENT_BYTES = 4 * 1024 * 1024
 """Unsent bytes above which the connection is aborted, so that a peer that does
 not read cannot exhaust the memory of this process."""
 
@@ -67,8 +67,15 @@
 class Link(asyncio.Protocol):
     """Connection that carries length-prefixed frames in both directions."""
 
-    def __init__(self, events: LinkCallbacks, clock: Clock, times: LinkTimings):
+    def __init__(
+        self,
+        events: LinkCallbacks,
+        clock: Clock,
+        times: LinkTimings,
+        max_unsent_bytes: int = MAX_UNSENT_BYTES,
+    ):
         """Create a link whose connection is opened by the event loop."""
+        self._max_unsent_bytes = max_unsent_bytes
         self._events = events
         self._clock = clock
         self._times = times
@@ -152,7 +159,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if transport.get_write_buffer_size() > self._max_unsent_bytes:
             transport.abort()
             return
         self._last_sent_at = self._clock.monotonic()
--- a/libraries/links/plantainstand_links/_outgoing.py
+++ b/libraries/links/plantainstand_links/_outgoing.py
@@ -7,7 +7,12 @@
 import structlog
 from plantainstand_core import Clock
 
-from plantainstand_links._link import Link, LinkCallbacks, LinkTimings
+from plantainstand_links._link import (
+    MAX_UNSENT_BYTES,
+    Link,
+    LinkCallbacks,
+    LinkTimings,
+)
 
 _log = structlog.get_logger()
 
@@ -21,8 +26,13 @@
         events: LinkCallbacks,
         clock: Clock,
         times: LinkTimings,
+        max_unsent_bytes: int = MAX_UNSENT_BYTES,
     ):
-        """Create a link to ``address``; :meth:`run` connects."""
+        """Create a link to ``address``; :meth:`run` connects.
+
+        The connection is closed if more than ``max_unsent_bytes`` wait.
+        """
+        self._max_unsent_bytes = max_unsent_bytes
         self.address = address
         self._events = events
         self._clock = clock
@@ -86,7 +96,9 @@
         await link.closed
 
     def _new_link(self) -> Callable[[], Link]:
-        return lambda: Link(self._events, self._clock, self._times)
+        return lambda: Link(
+            self._events, self._clock, self._times, self._max_unsent_bytes
+        )
 
     def _record_reachable(self, reachable: bool, cause: str) -> None:
         if reachable != self._reachable:
--- a/tests/control/test_state_size.py
+++ b/tests/control/test_state_size.py
@@ -5,8 +5,13 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from plantainstand_consensus import TooLong
+from plantainstand_consensus import TooLong, limits_for
 from plantainstand_control import OperatorService, TooLarge
+from plantainstand_control._peers import (
+    MAX_UNSENT_BYTES,
+    MAX_UNSENT_LOG_BYTES,
+)
+from plantainstand_control._publishing import UPDATE_BYTES
 from plantainstand_core import LogIndex, VmId
 from plantainstand_desired import (
     ChangeItems,
@@ -14,6 +19,7 @@
     Item,
     encode_command,
 )
+from plantainstand_links._link import MAX_FRAME_BYTES
 from result import Err, Ok, Result
 
 from tests.desired.builders import removal, route_item, service_item
@@ -111,3 +117,22 @@
         items = (service_item(), *_routes(50, 1), removal('gone', 1))
         state.apply(LogIndex(1), encode_command(ChangeItems(items)))
         self.assertGreaterEqual(state.size, len(state.snapshot()))
+
+
+class AgreeingLimitsTests(unittest.TestCase):
+    """Guards against a longest entry that its own link does not carry."""
+
+    def test_longest_entry(self) -> None:
+        """It fits into a frame, and does not end the link that it waits on."""
+        for megabytes in (16, 64, 296, 4_096):
+            size = megabytes * 1_000_000
+            limits = limits_for(size, size)
+            with self.subTest(megabytes):
+                longest = limits.entry_bytes + UPDATE_BYTES
+                self.assertLess(longest, MAX_FRAME_BYTES)
+                self.assertLess(
+                    MAX_UNSENT_LOG_BYTES + longest, MAX_UNSENT_BYTES
+                )
+                self.assertGreaterEqual(
+                    limits.uncommitted_bytes, limits.entry_bytes
+                )
