--- a/tests/consensus/simulated_cluster.py
+++ b/tests/consensus/simulated_cluster.py
@@ -10,6 +10,7 @@
     Configuration,
     Effects,
     Entry,
+    LogLimits,
     Message,
     Node,
     ReplicaCore,
@@ -54,6 +55,7 @@
         self.committed: dict[int, Entry] = {}
         self.leaders: dict[int, Node] = {}
         self.lost_disks: dict[Node, SimulatedDisk] = {}
+        self.limits = LogLimits()
         self._starts = 0
 
     def form(self, members: Sequence[VmId]) -> None:
@@ -89,6 +91,7 @@
             founding_members=founding_members,
             random_source=random.Random(self._starts),
             now=self.now,
+            limits=self.limits,
         )
 
     def crash(self, vm: VmId, kept_writes: int = 0) -> None:
--- a/tests/consensus/test_safety.py
+++ b/tests/consensus/test_safety.py
@@ -1,6 +1,8 @@
 """Tests that random faults never lose or change acknowledged commands."""
 
 import unittest
+from contextlib import ExitStack
+from unittest.mock import patch
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -10,7 +12,8 @@
     precondition,
     rule,
 )
-from plantainstand_consensus import Command
+from plantainstand_consensus import Command, LogLimits
+from plantainstand_consensus._entries import ENTRY_OVERHEAD_BYTES
 from plantainstand_core import VmId
 
 from tests.consensus.simulated_cluster import ROUND, SimulatedCluster
@@ -164,8 +167,36 @@
             assert applied[-1:] == [last], f'{voter} has not applied {last!r}'
 
 
-ClusterTest = ClusterMachine.TestCase
-ClusterTest.settings = settings(
+class SmallWindowsMachine(ClusterMachine):
+    """Guards against lost bytes between messages, with windows of a few.
+
+    Snapshots take several messages, and a replica that lags behind gets what
+    it lacks in several windows.
+    """
+
+    def __init__(self) -> None:
+        """Make all windows smaller than a snapshot and a few entries."""
+        super().__init__()
+        self._cluster.limits = LogLimits(
+            retained_bytes=3 * ENTRY_OVERHEAD_BYTES,
+            unacknowledged_bytes=2 * ENTRY_OVERHEAD_BYTES,
+        )
+        self._stack = ExitStack()
+        self._stack.enter_context(
+            patch.multiple(
+                'plantainstand_consensus._replication',
+                SNAPSHOT_CHUNK_BYTES=3,
+                MAX_UNACKNOWLEDGED_CHUNKS=2,
+            )
+        )
+
+    def teardown(self) -> None:
+        """See :meth:`ClusterMachine.teardown`."""
+        with self._stack:
+            super().teardown()
+
+
+_SETTINGS = settings(
     derandomize=True,
     database=None,
     deadline=None,
@@ -173,6 +204,10 @@
     stateful_step_count=40,
     suppress_health_check=list(HealthCheck),
 )
+ClusterTest = ClusterMachine.TestCase
+ClusterTest.settings = _SETTINGS
+SmallWindowsTest = SmallWindowsMachine.TestCase
+SmallWindowsTest.settings = _SETTINGS
 
 if __name__ == '__main__':
     unittest.main()
