--- a/libraries/consensus/plantainstand_consensus/_progress.py
+++ b/libraries/consensus/plantainstand_consensus/_progress.py
@@ -39,6 +39,22 @@
     snapshot_sent: int = 0
     """Number of bytes of the snapshot that were sent."""
 
+    snapshot_mark: int = 0
+    """``snapshot_offset`` at the last heartbeat."""
+
+    def begin_snapshot(self, snapshot: Snapshot) -> None:
+        """Start to send a snapshot."""
+        self.snapshot = snapshot
+        self.snapshot_offset = 0
+        self.snapshot_sent = 0
+        self.snapshot_mark = -1
+
+    def has_stalled_snapshot(self) -> bool:
+        """Return whether nothing has arrived since the last call."""
+        has_stalled = self.snapshot_offset == self.snapshot_mark
+        self.snapshot_mark = self.snapshot_offset
+        return has_stalled
+
     def record_contact(self, sent_at: timedelta, round_number: int) -> None:
         """Record the answer to a message sent at ``sent_at``."""
         if self.last_contact is None or sent_at > self.last_contact:
--- a/libraries/consensus/plantainstand_consensus/_replication.py
+++ b/libraries/consensus/plantainstand_consensus/_replication.py
@@ -49,7 +49,7 @@
         if progress.snapshot is None:
             max_entries = MAX_ENTRIES_PER_MESSAGE if progress.probing else 0
             self._send_entries(progress, max_entries)
-        else:
+        elif progress.has_stalled_snapshot():
             # Only the first missing chunk: the others may still be on the way.
             progress.snapshot_sent = progress.snapshot_offset
             self._send_chunk(progress, progress.snapshot)
@@ -125,9 +125,7 @@
     def _start_snapshot(self, progress: Progress) -> None:
         snapshot = self._state.log.snapshot
         if snapshot is not None:
-            progress.snapshot = snapshot
-            progress.snapshot_offset = 0
-            progress.snapshot_sent = 0
+            progress.begin_snapshot(snapshot)
             self._send_chunk(progress, snapshot)
 
     def _send_chunk(self, progress: Progress, snapshot: Snapshot) -> None:
