Test that fails: a change of many routes fills the link of an entry VM

Each control VM that an entry VM is linked to sends it the whole change: 852,450 bytes from five control VMs for 350 routes, where 2 Mbit/s carry 625,000 in configApplyS.

--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+import msgspec
 from plantainstand_control import ControlNode, ControlSettings, TargetList
 from plantainstand_control._poller import ListProblem
 from plantainstand_core import (
@@ -16,7 +17,20 @@
     SystemClock,
     VmId,
 )
-from plantainstand_desired import ChangeItems, Verdict
+from plantainstand_desired import ChangeItems, Item, Verdict
+from plantainstand_fleet import (
+    DesiredUpdate,
+    Hello,
+    VmRole,
+    decode_fleet_message,
+    encode_fleet_message,
+)
+from plantainstand_links import (
+    Link,
+    LinkCallbacks,
+    LinkTimings,
+    OutgoingLink,
+)
 from result import Ok, Result
 
 from tests.desired.builders import route_item, service_item
@@ -27,6 +41,15 @@
 _SEEDS = tuple(VmId(f'127.0.7.{number}') for number in (1, 2, 3))
 _ALL = (*_SEEDS, VmId('127.0.7.4'), VmId('127.0.7.5'))
 _CHANGE = ChangeItems((service_item(), route_item('shop', 5)))
+_MANY_ROUTES = 350
+"""Routes that one ``big_config`` of the users' sites adds."""
+
+_DOCUMENT_BYTES = 240
+"""What the operator writes for a route on these sites."""
+
+_MOST_UPDATE_BYTES = 625_000
+"""What a link of 2 Mbit/s, as entry VMs have on the grown and large sites,
+carries within the ``configApplyS`` of these sites, 2.5 s."""
 
 
 async def _empty_list() -> Result[TargetList, ListProblem]:
@@ -60,6 +83,49 @@
         emptied = self._start(_ALL[0], folder='emptied', first_start=False)
         await self._until(lambda: _holds_route(emptied))
 
+    async def test_change_of_many_routes(self) -> None:
+        """It has passed the link of an entry VM within configApplyS.
+
+        Guards against control VMs that each send the whole change to an entry
+        VM, so that requests wait behind it on a slow link.
+        """
+        nodes = [self._start(vm) for vm in _ALL]
+        await self._until(lambda: self._voters(nodes[0]) == set(_ALL))
+        sizes: list[int] = []
+        for vm in _ALL:
+            self._connect_entry(vm, sizes)
+        change = ChangeItems(
+            (service_item(), *map(_long_route, range(_MANY_ROUTES)))
+        )
+        await self._execute_change(nodes, change)
+        await asyncio.sleep(2)
+        self.assertTrue(sizes)
+        self.assertLess(sum(sizes), _MOST_UPDATE_BYTES)
+
+    def _connect_entry(self, vm: VmId, sizes: list[int]) -> None:
+        """Connect as an entry VM; note the bytes of the desired state."""
+
+        def receive(_link: Link, frame: bytes) -> None:
+            if isinstance(decode_fleet_message(frame).ok(), DesiredUpdate):
+                sizes.append(len(frame))
+
+        hello = Hello(
+            VmRole.ENTRY,
+            VmId('127.0.7.9'),
+            AvailabilityZoneId('region-1-a'),
+            RegionId('region-1'),
+            0,
+        )
+        callbacks = LinkCallbacks(
+            lambda link: link.send(encode_fleet_message(hello)),
+            receive,
+            lambda _link: None,
+        )
+        address = f'{vm}:{_LINK_PORT}'
+        link = OutgoingLink(address, callbacks, SystemClock(), LinkTimings())
+        running = asyncio.create_task(link.run())
+        self.stack.push_async_callback(_cancel, running)
+
     def _start(
         self,
         vm: VmId,
@@ -87,11 +153,13 @@
         (stack or self.stack).push_async_callback(_cancel, running)
         return node
 
-    async def _execute_change(self, nodes: list[ControlNode]) -> Verdict:
+    async def _execute_change(
+        self, nodes: list[ControlNode], change: ChangeItems = _CHANGE
+    ) -> Verdict:
         async with asyncio.timeout(_DEADLINE_SECONDS):
             verdict = None
             while verdict is None:
-                verdict = await _try_change_at_each(nodes)
+                verdict = await _try_change_at_each(nodes, change)
                 await asyncio.sleep(0.05)
         return verdict
 
@@ -105,9 +173,16 @@
         return set() if status is None else {each.vm for each in status.voters}
 
 
-async def _try_change_at_each(nodes: list[ControlNode]) -> Verdict | None:
+def _long_route(number: int) -> Item:
+    item = route_item(f'r{number}', 1, prefix=f'/{number}/')
+    return msgspec.structs.replace(item, document=bytes(_DOCUMENT_BYTES))
+
+
+async def _try_change_at_each(
+    nodes: list[ControlNode], change: ChangeItems
+) -> Verdict | None:
     for node in nodes:
-        outcome = await node.operator.execute_command(_CHANGE)
+        outcome = await node.operator.execute_command(change)
         if outcome.is_ok():
             return outcome.unwrap().verdict
     return None
