--- a/libraries/control/plantainstand_control/_operator.py
+++ b/libraries/control/plantainstand_control/_operator.py
@@ -118,7 +118,7 @@
         state = self._state()
         size = state.size_after(command.items)
         limit = self._max_state_bytes
-        # What removes more than it adds is welcome above the limit too.
+        # A change that makes the state smaller is accepted above the limit.
         return TooLarge(size, limit) if size > max(limit, state.size) else None
 
     def _leading_replica(self) -> Result[LogReplica, OperatorProblem]:
--- a/libraries/desired/plantainstand_desired/_view.py
+++ b/libraries/desired/plantainstand_desired/_view.py
@@ -58,7 +58,7 @@
 
     @property
     def has_routes(self) -> bool:
-        """Whether all routes of any log index are known, and there are any.
+        """Whether the state of some log index is complete and has routes.
 
         A state that has arrived in part does not tell which route a request
         has.
