Log and metrics of a leader's voter set: who lacks a vote, and why

The leader now logs 'voter set checked' when that changes, with the VMs that learn and the entries they lack, and has gauges for it; 'replica status changed' names the disk and the newest entry. The leader's record of its replicas moves to a module of its own.

--- a/libraries/consensus/plantainstand_consensus/__init__.py
+++ b/libraries/consensus/plantainstand_consensus/__init__.py
@@ -21,6 +21,7 @@
 from plantainstand_consensus._interfaces import (
     CommittedEntry,
     EntriesItem,
+    LearnerStatus,
     ReplicaOptions,
     ReplicaStatus,
     SnapshotItem,
@@ -66,6 +67,7 @@
     'Entry',
     'HardState',
     'InvariantError',
+    'LearnerStatus',
     'Log',
     'LogLimits',
     'LogReplica',
--- a/libraries/consensus/plantainstand_consensus/_core.py
+++ b/libraries/consensus/plantainstand_consensus/_core.py
@@ -248,7 +248,7 @@
 
     def _add_learner(self, source: VmId, disk: DiskId) -> None:
         if self.leadership is not None:
-            self.leadership.add_learner(Node(source, disk))
+            self.leadership.replicas.add_learner(Node(source, disk))
 
     def _leader_hint(self) -> VmId | None:
         return None if self.leadership else self._state.leader
--- a/libraries/consensus/plantainstand_consensus/_interfaces.py
+++ b/libraries/consensus/plantainstand_consensus/_interfaces.py
@@ -75,6 +75,17 @@
     """Runs file operations and waits for their end."""
 
 
+@dataclass(frozen=True)
+class LearnerStatus:
+    """Leader's knowledge of a disk that is to become a voter."""
+
+    node: Node
+    """VM and disk that receive the log."""
+
+    missing_entries: int
+    """Committed entries that are not known to be durable on the disk."""
+
+
 @dataclass(frozen=True)
 class ReplicaStatus:
     """Status of a replica at one time."""
@@ -127,6 +138,13 @@
     voters: tuple[Node, ...]
     """Disks whose votes count, from the newest voter set in the log."""
 
+    silent_voters: tuple[Node, ...]
+    """On the leader: voters that answered no message that was sent within the
+    last second. Empty on other replicas."""
+
+    learners: tuple[LearnerStatus, ...]
+    """On the leader: disks that get the log without being voters."""
+
     problem: StorageProblem | None
     """Why the replica stopped, if its disk failed."""
 
--- a/libraries/consensus/plantainstand_consensus/_leading.py
+++ b/libraries/consensus/plantainstand_consensus/_leading.py
@@ -15,7 +15,7 @@
 )
 from plantainstand_consensus._membership import next_configuration
 from plantainstand_consensus._messages import AppendReply, SnapshotReply
-from plantainstand_consensus._progress import Progress
+from plantainstand_consensus._replica_table import ReplicaTable
 from plantainstand_consensus._replication import MICROSECOND, Replication
 from plantainstand_consensus._state import (
     HEARTBEAT_INTERVAL,
@@ -34,12 +34,16 @@
         self._elected_at = state.now
         self._first_index = state.log.last_index + 1
         self._replication = Replication(state)
-        self._progress: dict[Node, Progress] = {}
-        self._learners: set[Node] = set()
+        self._replicas = ReplicaTable(state)
         self._heartbeat_due = state.now
         self._sent_commit_index = 0
         self.append(NoOperation())
 
+    @property
+    def replicas(self) -> ReplicaTable:
+        """Replicas that get the log from this leader."""
+        return self._replicas
+
     @property
     def accepts_requests(self) -> bool:
         """Whether proposals and reads are accepted.
@@ -75,29 +79,13 @@
         log.append((entry,))
         self._state.outbox.write(WriteEntries((entry,)))
         if isinstance(body, Configuration):
-            self._learners.difference_update(body.voters)
+            self._replicas.remove_learners(body.voters)
         return entry.index
 
-    def add_learner(self, node: Node) -> None:
-        """Start to send the log to a disk that is to become a voter.
-
-        The disk replaces other learners on its VM. It is ignored if its VM is
-        not a member.
-        """
-        configuration = self._state.log.configuration
-        is_known = node in configuration.voters or node in self._learners
-        is_own_vm = node.vm == self._state.node.vm
-        if is_known or is_own_vm or node.vm not in configuration.members:
-            return
-        self._learners = {
-            learner for learner in self._learners if learner.vm != node.vm
-        }
-        self._learners.add(node)
-
     def has_quorum_contact(self, now: timedelta) -> bool:
         """Return whether a majority answered within the contact timeout."""
         return self._reaches_quorum(
-            self._reachable(now - QUORUM_CONTACT_TIMEOUT)
+            self._replicas.reachable(now - QUORUM_CONTACT_TIMEOUT)
         )
 
     def start_round(self) -> int:
@@ -112,8 +100,8 @@
     def is_round_confirmed(self, round_number: int) -> bool:
         """Return whether a majority answered a read barrier round."""
         answered = {
-            node
-            for node, progress in self._progress.items()
+            progress.node
+            for progress in self._replicas
             if progress.round_number >= round_number
         }
         return self._reaches_quorum(answered)
@@ -124,7 +112,7 @@
         reply: AppendReply | SnapshotReply,
     ) -> None:
         """Process the reply of a voter or learner."""
-        progress = self._progress.get(Node(source, reply.source_disk))
+        progress = self._replicas.find(Node(source, reply.source_disk))
         if progress is None:
             return
         if reply.term > self.term:
@@ -152,7 +140,7 @@
     def advance(self) -> None:
         """Commit what a majority has, then start a voter change if due."""
         state = self._state
-        index = self._majority_index()
+        index = self._replicas.majority_index()
         # Only entries of this term are committed by counting replicas. An
         # older entry on a majority can still be replaced by a later leader.
         if index > state.commit_index and state.log.term_at(index) == self.term:
@@ -169,11 +157,11 @@
     def flush(self) -> None:
         """Send new entries, commit indexes and heartbeats."""
         now = self._state.now
-        self._refresh_progress()
+        self._replicas.refresh()
         is_heartbeat_due = now >= self._heartbeat_due
         has_new_commit = self._state.commit_index > self._sent_commit_index
         self._sent_commit_index = self._state.commit_index
-        for progress in self._progress.values():
+        for progress in self._replicas:
             previous_next_index = progress.next_index
             self._replication.send_new(progress)
             nothing_sent = progress.next_index == previous_next_index
@@ -184,22 +172,12 @@
         if is_heartbeat_due:
             self._heartbeat_due = now + HEARTBEAT_INTERVAL
 
-    def _refresh_progress(self) -> None:
-        configuration = self._state.log.configuration
-        wanted = {*configuration.voters, *self._learners} - {self._state.node}
-        next_index = self._state.log.last_index + 1
-        self._progress = {
-            node: self._progress.get(node) or Progress(node, next_index)
-            for node in sorted(wanted)
-        }
-
     def _next_configuration(self) -> Configuration | None:
         state = self._state
-        reachable = self._reachable(state.now - QUORUM_CONTACT_TIMEOUT)
+        reachable = self._replicas.reachable(state.now - QUORUM_CONTACT_TIMEOUT)
+        missing_entries = self._replicas.missing_entries()
         caught_up = [
-            node
-            for node in self._learners & reachable
-            if self._progress[node].match_index >= state.commit_index
+            node for node in reachable if missing_entries.get(node) == 0
         ]
         new_configuration = next_configuration(
             state.log.configuration,
@@ -216,27 +194,6 @@
             return None
         return new_configuration
 
-    def _majority_index(self) -> int:
-        state = self._state
-        matches = [
-            progress.match_index
-            for node, progress in self._progress.items()
-            if node in state.log.configuration.voters
-        ]
-        if state.is_voter:
-            matches.append(state.outbox.durable_index)
-        quorum = state.log.configuration.quorum
-        if len(matches) < quorum:
-            return 0
-        return sorted(matches, reverse=True)[quorum - 1]
-
-    def _reachable(self, since: timedelta) -> set[Node]:
-        return {
-            node
-            for node, progress in self._progress.items()
-            if progress.in_contact_since(since)
-        }
-
     def _reaches_quorum(self, nodes: Collection[Node]) -> bool:
         present = {self._state.node, *nodes}
         return self._state.log.configuration.has_majority(present)
--- /dev/null
+++ b/libraries/consensus/plantainstand_consensus/_replica_table.py
@@ -0,0 +1,93 @@
+"""Replicas that a leader sends the log to."""
+
+from collections.abc import Collection, Iterator, Mapping
+from datetime import timedelta
+
+from plantainstand_consensus._entries import Node
+from plantainstand_consensus._progress import Progress
+from plantainstand_consensus._state import CoreState
+
+
+class ReplicaTable:
+    """Progress of the other voters and of the learners."""
+
+    def __init__(self, state: CoreState):
+        """Start without learners; :meth:`refresh` adds the voters."""
+        self._state = state
+        self._progress: dict[Node, Progress] = {}
+        self._learners: set[Node] = set()
+
+    def __iter__(self) -> Iterator[Progress]:
+        """Iterate over the voters and learners, in the order of their ids."""
+        return iter(self._progress.values())
+
+    def find(self, node: Node) -> Progress | None:
+        """Return the progress of a voter or learner."""
+        return self._progress.get(node)
+
+    def add_learner(self, node: Node) -> None:
+        """Add a disk that is to become a voter.
+
+        The disk replaces other learners on its VM. It is ignored if its VM is
+        not a member.
+        """
+        configuration = self._state.log.configuration
+        is_known = node in configuration.voters or node in self._learners
+        is_own_vm = node.vm == self._state.node.vm
+        if is_known or is_own_vm or node.vm not in configuration.members:
+            return
+        self._learners = {
+            learner for learner in self._learners if learner.vm != node.vm
+        }
+        self._learners.add(node)
+
+    def remove_learners(self, nodes: Collection[Node]) -> None:
+        """Remove disks that have become voters."""
+        self._learners.difference_update(nodes)
+
+    def refresh(self) -> None:
+        """Follow a change of the voters or learners."""
+        configuration = self._state.log.configuration
+        wanted = {*configuration.voters, *self._learners} - {self._state.node}
+        next_index = self._state.log.last_index + 1
+        self._progress = {
+            node: self._progress.get(node) or Progress(node, next_index)
+            for node in sorted(wanted)
+        }
+
+    def reachable(self, since: timedelta) -> set[Node]:
+        """Return the replicas that answered a message sent since then."""
+        return {
+            node
+            for node, progress in self._progress.items()
+            if progress.in_contact_since(since)
+        }
+
+    def silent_voters(self, since: timedelta) -> set[Node]:
+        """Return the other voters that answered no message sent since then."""
+        voters = set(self._state.log.configuration.voters)
+        return voters - self.reachable(since) - {self._state.node}
+
+    def missing_entries(self) -> Mapping[Node, int]:
+        """Return how many committed entries each learner lacks."""
+        commit_index = self._state.commit_index
+        return {
+            node: max(0, commit_index - progress.match_index)
+            for node, progress in self._progress.items()
+            if node in self._learners
+        }
+
+    def majority_index(self) -> int:
+        """Return the newest index that is durable on a majority of voters."""
+        state = self._state
+        matches = [
+            progress.match_index
+            for node, progress in self._progress.items()
+            if node in state.log.configuration.voters
+        ]
+        if state.is_voter:
+            matches.append(state.outbox.durable_index)
+        quorum = state.log.configuration.quorum
+        if len(matches) < quorum:
+            return 0
+        return sorted(matches, reverse=True)[quorum - 1]
--- a/libraries/consensus/plantainstand_consensus/_status.py
+++ b/libraries/consensus/plantainstand_consensus/_status.py
@@ -6,7 +6,9 @@
 from plantainstand_storage import StorageProblem
 
 from plantainstand_consensus._core import ReplicaCore
-from plantainstand_consensus._interfaces import ReplicaStatus
+from plantainstand_consensus._entries import Node
+from plantainstand_consensus._interfaces import LearnerStatus, ReplicaStatus
+from plantainstand_consensus._leading import Leadership
 from plantainstand_consensus._state import QUORUM_CONTACT_TIMEOUT, Role
 
 
@@ -44,10 +46,33 @@
         journal_bytes=journal_bytes,
         members=configuration.members,
         voters=configuration.voters,
+        silent_voters=_find_silent_voters(leadership, now),
+        learners=_describe_learners(leadership),
         problem=problem,
     )
 
 
+def _find_silent_voters(
+    leadership: Leadership | None, now: timedelta
+) -> tuple[Node, ...]:
+    if leadership is None:
+        return ()
+    since = now - QUORUM_CONTACT_TIMEOUT
+    return tuple(sorted(leadership.replicas.silent_voters(since)))
+
+
+def _describe_learners(
+    leadership: Leadership | None,
+) -> tuple[LearnerStatus, ...]:
+    if leadership is None:
+        return ()
+    missing_entries = leadership.replicas.missing_entries()
+    return tuple(
+        LearnerStatus(node, missing_entries[node])
+        for node in sorted(missing_entries)
+    )
+
+
 def _hears_leader(core: ReplicaCore, now: timedelta) -> bool:
     state = core.state
     contact = state.leader_contact
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -53,6 +53,7 @@
 from plantainstand_control._replica import ReplicaRunner
 from plantainstand_control._rosters import RosterInputs, RosterSender
 from plantainstand_control._settings import ControlSettings
+from plantainstand_control._voter_set import describe_voter_set
 
 _log = structlog.get_logger()
 
@@ -77,6 +78,16 @@
         'plantainstand_control_log_bytes': 'Log entries in memory, in bytes.',
         'plantainstand_control_journal_bytes': 'Log entries on disk, in bytes.',
         'plantainstand_control_snapshot_bytes': 'Newest snapshot, in bytes.',
+        'plantainstand_control_voters': 'Disks whose votes count.',
+        'plantainstand_control_silent_voters': (
+            'On the leader: voters that have not answered lately.'
+        ),
+        'plantainstand_control_members_without_vote': (
+            'On the leader: VMs that are to be voters and are not.'
+        ),
+        'plantainstand_control_learners': (
+            'On the leader: disks that get the log without a vote.'
+        ),
         'plantainstand_control_state_bytes': (
             'Desired state with tombstones, in bytes.'
         ),
@@ -398,10 +409,15 @@
 def _log_readings(status: ReplicaStatus | None) -> dict[str, int]:
     if status is None:
         return {}
+    gaps = describe_voter_set(status)
     return {
         'log_bytes': status.log_bytes,
         'journal_bytes': status.journal_bytes,
         'snapshot_bytes': status.snapshot_bytes,
+        'voters': len(status.voters),
+        'silent_voters': len(gaps.silent),
+        'members_without_vote': len(gaps.without_vote),
+        'learners': len(gaps.learning),
     }
 
 
--- a/libraries/control/plantainstand_control/_replica.py
+++ b/libraries/control/plantainstand_control/_replica.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 
+import msgspec
 import structlog
 from plantainstand_consensus import (
     LogLimits,
@@ -22,6 +23,7 @@
 from result import Err, Result
 
 from plantainstand_control._settings import ControlSettings
+from plantainstand_control._voter_set import VoterSetGaps, describe_voter_set
 
 _log = structlog.get_logger()
 
@@ -52,6 +54,7 @@
         self._transport = transport
         self._replica: LogReplica | None = None
         self._logged_description = ''
+        self._logged_voter_set = VoterSetGaps()
         self._limits = limits_for(settings.memory_bytes, settings.disk_bytes)
 
     @property
@@ -94,10 +97,11 @@
             self._replica.replace_peers(peers)
 
     def log_status_changes(self) -> None:
-        """Log the status if role, term, leader or voters have changed."""
+        """Log what has changed of the role, the leader and the voter set."""
         status = self.status
         if status is None:
             return
+        self._log_voter_set(status)
         voters = [voter.vm for voter in status.voters]
         description = f'{status.role} {status.term} {status.leader} {voters}'
         if description != self._logged_description:
@@ -107,9 +111,28 @@
                 role=status.role.value,
                 term=status.term,
                 leader=status.leader,
+                disk=status.node.disk,
                 voters=voters,
                 members=list(status.members),
                 applied_index=status.applied_index,
+                last_index=status.last_index,
+            )
+
+    def _log_voter_set(self, status: ReplicaStatus) -> None:
+        """Log on the leader which disks the voter set lacks, and why."""
+        gaps = describe_voter_set(status)
+        if gaps == self._logged_voter_set:
+            return
+        self._logged_voter_set = gaps
+        if status.has_quorum_contact:
+            _log.info(
+                'voter set checked',
+                **msgspec.to_builtins(gaps),
+                missing_entries={
+                    learner.node.vm: learner.missing_entries
+                    for learner in status.learners
+                },
+                commit_index=status.commit_index,
             )
 
     async def _run_replica(self, storage: VoterStorage) -> None:
