--- a/tests/consensus/test_joining.py
+++ b/tests/consensus/test_joining.py
@@ -1,8 +1,9 @@
 """Tests of automatic founding, repair and contact with a majority."""
 
 import unittest
+from collections.abc import Sequence
 
-from plantainstand_consensus import Command
+from plantainstand_consensus import Command, ReplicaCore
 from plantainstand_core import VmId
 
 from tests.consensus.simulated_cluster import SimulatedCluster
@@ -11,6 +12,11 @@
 _FOUNDER, _SECOND, _THIRD = _VMS
 _ROUNDS = 80
 
+_SIX_VMS = tuple(VmId(name) for name in 'abcdef')
+_SUCCESSOR = _SIX_VMS[0]
+_LOST = _SIX_VMS[2]
+_OTHERS = _SIX_VMS[:5]
+
 
 def _founded() -> SimulatedCluster:
     cluster = SimulatedCluster(_VMS)
@@ -105,6 +111,63 @@
         self.assertTrue(_propose(cluster, b'after'))
 
 
+class ReplacedVoterTest(unittest.TestCase):
+    """Guards against a voter that never learns that it was replaced.
+
+    Its own log names it as a voter, among others that no longer lead.
+    """
+
+    def setUp(self) -> None:
+        """Replace the last of five voters while it reaches no other VM."""
+        self.cluster = SimulatedCluster(_SIX_VMS)
+        self.cluster.form(_SIX_VMS[1:])
+        for vm in _SIX_VMS:
+            self.cluster.start(vm)
+        self.cluster.run_rounds(_ROUNDS, _OTHERS)
+        self._change_members(_OTHERS)
+        self.cluster.run_rounds(_ROUNDS, _OTHERS)
+        while self.cluster.leader() != _SUCCESSOR:
+            leader = self.cluster.leader()
+            assert leader is not None
+            self.cluster.crash(leader)
+            self.cluster.run_rounds(_ROUNDS, _OTHERS)
+            self.cluster.start(leader)
+            self.cluster.run_rounds(_ROUNDS, _OTHERS)
+
+    def test_becomes_a_voter_again(self) -> None:
+        """It takes the place of a lost disk while its successor leads."""
+        self.cluster.run_rounds(_ROUNDS, _SIX_VMS)
+        self.cluster.lose_disk(_LOST)
+        self.cluster.run_rounds(_ROUNDS, _SIX_VMS)
+        members = sorted(set(_SIX_VMS) - {_LOST})
+        self._change_members(members)
+        self.cluster.run_rounds(_ROUNDS, _SIX_VMS)
+        self.assertEqual(self._voters(), members)
+        # Two more lost disks must leave a majority of the voters.
+        for vm in (_SUCCESSOR, _OTHERS[1]):
+            self.cluster.lose_disk(vm)
+            self.cluster.start(vm)
+        self.cluster.start(_LOST)
+        self.cluster.run_rounds(_ROUNDS, _SIX_VMS)
+        self.assertIsNotNone(self.cluster.leader())
+
+    def _voters(self) -> list[VmId]:
+        core = self._leading_core()
+        return [voter.vm for voter in core.state.log.configuration.voters]
+
+    def _change_members(self, members: Sequence[VmId]) -> None:
+        core = self._leading_core()
+        self.assertTrue(core.change_members(members).is_ok())
+        self.cluster.collect(core.state.node.vm)
+
+    def _leading_core(self) -> ReplicaCore:
+        leader = self.cluster.leader()
+        assert leader is not None
+        core = self.cluster.replicas[leader].core
+        assert core is not None
+        return core
+
+
 class LeaderContactTest(unittest.TestCase):
     """Guards against leaders that act without contact to a majority."""
 
