Log: a replica without a leader asks to join, whatever its own log says

Cause: a voter that is replaced while it is away does not get the entry that removes it. It went on to believe its own log: as a voter it sent no join requests, and its vote requests went to its old voter set. While its successor, which that set lacks, led the log, the leader never heard of it. When another voter lost its disk, the members named the one that never came: it got no vote, and the new disk, whose VM was no member any more, none either.

Evidence: test_becomes_a_voter_again failed with the voters and members of the users' record (voters a b c d e, members a b d e f) and passes now. Ruled out: a slow transfer; no entry had been sent to the replaced voter at all.

Why this works: the only replica that may add a disk is the leader, and it already ignores requests of voters and of VMs that are no members. So every replica that hears no leader asks all VMs it knows, and needs no knowledge of its own standing.

--- a/libraries/consensus/plantainstand_consensus/_core.py
+++ b/libraries/consensus/plantainstand_consensus/_core.py
@@ -166,7 +166,7 @@
         )
 
     def replace_peers(self, peers: Sequence[VmId]) -> None:
-        """Set the VMs that get join requests while this disk is no voter."""
+        """Set the VMs that get join requests while no leader sends the log."""
         self._joining.replace_peers(peers)
 
     def record_synced(self, sequence: int) -> None:
--- a/libraries/consensus/plantainstand_consensus/_joining.py
+++ b/libraries/consensus/plantainstand_consensus/_joining.py
@@ -1,4 +1,4 @@
-"""Founding of a cluster, and join requests of non-voters."""
+"""Founding of a cluster, and join requests of replicas without a leader."""
 
 from collections.abc import Sequence
 
@@ -17,7 +17,11 @@
 
 
 class Joining:
-    """Sends join requests until this disk is a voter, or founds the cluster.
+    """Sends join requests while no leader sends the log; founds the cluster.
+
+    A replica cannot tell from its own log whether it still is a voter: the
+    entry that removed it may not have arrived, and its newest voter set may
+    lack the VM that leads now.
 
     Only one VM may found the cluster: the first of the founding members. It
     does so only after every other member has replied that it was never part of
@@ -54,11 +58,13 @@
         self._peers = [peer for peer in peers if peer != own]
 
     def tick(self) -> None:
-        """Repeat the join request while no leader sends the log."""
+        """Repeat the join request while no leader sends the log.
+
+        The leader ignores it if this disk is a voter.
+        """
         state = self._state
-        is_non_voter = state.role != Role.LEADER and not state.is_voter
         if (
-            not is_non_voter
+            state.role == Role.LEADER
             or state.has_recent_leader
             or state.now < self._next_request_at
         ):
--- a/libraries/consensus/plantainstand_consensus/_replica.py
+++ b/libraries/consensus/plantainstand_consensus/_replica.py
@@ -129,7 +129,7 @@
         return outcome.map(_discard_value)
 
     def replace_peers(self, peers: Sequence[VmId]) -> None:
-        """Set the VMs that get join requests while this disk is no voter."""
+        """Set the VMs that get join requests while no leader sends the log."""
         self._core.replace_peers(peers)
 
     async def read_barrier(
