Log: a disk far from the leader becomes a voter while commands keep coming

Callers would lose acknowledged state: lost disks keep their votes, and the voter set shrinks to those near the leader, for as long as changes come.

Cause: a learner counted as caught up only if it had every committed entry at that instant. Two voters near the leader commit within a few milliseconds; a learner 35 ms away is always some entries behind.

Ruled out: the transfer, which keeps pace.

Why this works: a learner keeps pace if it has what was committed when the message left that it answers. A new voter may lack the newest entries; they stay safe, since whoever lacks them still gets no majority.

--- a/libraries/consensus/plantainstand_consensus/_progress.py
+++ b/libraries/consensus/plantainstand_consensus/_progress.py
@@ -23,6 +23,9 @@
     round_number: int = 0
     """Newest read barrier round answered."""
 
+    has_caught_up: bool = False
+    """Whether the node once had all that was committed a round trip before."""
+
     probing: bool = True
     """Whether the last matching index is unknown. Entries are then sent in one
     message at a time."""
--- a/libraries/consensus/plantainstand_consensus/_replica_table.py
+++ b/libraries/consensus/plantainstand_consensus/_replica_table.py
@@ -1,11 +1,12 @@
 """Replicas that a leader sends the log to."""
 
+from collections import deque
 from collections.abc import Collection, Iterator, Mapping
 from datetime import timedelta
 
 from plantainstand_consensus._entries import Node
 from plantainstand_consensus._progress import Progress
-from plantainstand_consensus._state import CoreState
+from plantainstand_consensus._state import QUORUM_CONTACT_TIMEOUT, CoreState
 
 
 class ReplicaTable:
@@ -16,6 +17,7 @@
         self._state = state
         self._progress: dict[Node, Progress] = {}
         self._learners: set[Node] = set()
+        self._commits: deque[tuple[timedelta, int]] = deque()
 
     def __iter__(self) -> Iterator[Progress]:
         """Iterate over the voters and learners, in the order of their ids."""
@@ -68,6 +70,34 @@
         voters = set(self._state.log.configuration.voters)
         return voters - self.reachable(since) - {self._state.node}
 
+    def record_commit(self) -> None:
+        """Record that the commit index has grown."""
+        now = self._state.now
+        self._commits.append((now, self._state.commit_index))
+        while self._commits[0][0] < now - QUORUM_CONTACT_TIMEOUT:
+            self._commits.popleft()
+
+    def record_acknowledgement(
+        self, progress: Progress, sent_at: timedelta
+    ) -> None:
+        """Record whether a replica keeps up with the commits.
+
+        It is compared with what was committed when the message left that it
+        answers. Later commits may always be on their way: a replica that is
+        farther from the leader than a majority never has all of them while
+        commands keep coming.
+        """
+        if progress.match_index >= self._committed_at(sent_at):
+            progress.has_caught_up = True
+
+    def caught_up_learners(self, since: timedelta) -> Collection[Node]:
+        """Return the learners that keep up and answered since then."""
+        return {
+            node
+            for node in self._learners & self.reachable(since)
+            if self._progress[node].has_caught_up
+        }
+
     def missing_entries(self) -> Mapping[Node, int]:
         """Return how many committed entries each learner lacks."""
         commit_index = self._state.commit_index
@@ -91,3 +121,12 @@
         if len(matches) < quorum:
             return 0
         return sorted(matches, reverse=True)[quorum - 1]
+
+    def _committed_at(self, instant: timedelta) -> int:
+        """Return the commit index at a time, or a newer one if forgotten."""
+        known = [index for at, index in self._commits if at <= instant]
+        if known:
+            return known[-1]
+        return (
+            self._commits[0][1] if self._commits else self._state.commit_index
+        )
