Control VMs: a member whose replica does not answer gives its place away

One that never comes, for instance since its disk refuses writes, kept its place for good, and the disk that it should replace kept its vote.

The leader now notes since when a member's replica is neither a voter nor a learner that answers; after 2.5 s another live VM may take its place. Not shown with real disks.

--- a/libraries/consensus/plantainstand_consensus/_interfaces.py
+++ b/libraries/consensus/plantainstand_consensus/_interfaces.py
@@ -143,7 +143,8 @@
     last second. Empty on other replicas."""
 
     learners: tuple[LearnerStatus, ...]
-    """On the leader: disks that get the log without being voters."""
+    """On the leader: disks that get the log without being voters, and have
+    answered a message that was sent within the last second."""
 
     problem: StorageProblem | None
     """Why the replica stopped, if its disk failed."""
--- a/libraries/consensus/plantainstand_consensus/_status.py
+++ b/libraries/consensus/plantainstand_consensus/_status.py
@@ -47,7 +47,7 @@
         members=configuration.members,
         voters=configuration.voters,
         silent_voters=_find_silent_voters(leadership, now),
-        learners=_describe_learners(leadership),
+        learners=_describe_learners(leadership, now),
         problem=problem,
     )
 
@@ -62,11 +62,13 @@
 
 
 def _describe_learners(
-    leadership: Leadership | None,
+    leadership: Leadership | None, now: timedelta
 ) -> tuple[LearnerStatus, ...]:
     if leadership is None:
         return ()
-    missing_entries = leadership.replicas.missing_entries()
+    missing_entries = leadership.replicas.missing_entries(
+        now - QUORUM_CONTACT_TIMEOUT
+    )
     return tuple(
         LearnerStatus(node, missing_entries[node])
         for node in sorted(missing_entries)
--- a/libraries/control/plantainstand_control/_members.py
+++ b/libraries/control/plantainstand_control/_members.py
@@ -1,10 +1,16 @@
 """Choice of the control VMs that are to be voters."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 
-from plantainstand_core import RegionId, VmId
+from plantainstand_consensus import ReplicaStatus
+from plantainstand_core import Clock, RegionId, VmId
+
+ABSENCE_TIMEOUT = timedelta(milliseconds=2500)
+"""Time without an answer of a member's replica after which another VM may take
+its place, though its process is live: its disk may hang or refuse writes."""
 
 
 @dataclass(frozen=True)
@@ -15,12 +21,47 @@
     """VMs that are to be voters at present."""
 
     live_regions: Mapping[VmId, RegionId]
-    """Regions of the VMs that sent a message recently, with the leader."""
+    """Regions of the VMs that sent a message recently, with the leader, less
+    members whose replicas are absent."""
 
     tolerated_losses: int
     """Number of voters that may be lost at the same time."""
 
 
+class AbsenceRecord:
+    """Since when the replicas of members have not answered the leader."""
+
+    def __init__(self, clock: Clock):
+        """Start without absent members."""
+        self._clock = clock
+        self._since: dict[VmId, timedelta] = {}
+
+    def update(self, status: ReplicaStatus) -> Collection[VmId]:
+        """Return the members that have been absent for too long.
+
+        A replica is present if it is a voter or learner that answers. Call this
+        regularly on the leader.
+        """
+        voters = set(status.voters) - set(status.silent_voters)
+        learners = {learner.node for learner in status.learners}
+        present = {node.vm for node in voters | learners}
+        now = self._clock.monotonic()
+        self._since = {
+            vm: self._since.get(vm, now)
+            for vm in status.members
+            if vm not in present
+        }
+        return {
+            vm
+            for vm, since in self._since.items()
+            if now - since >= ABSENCE_TIMEOUT
+        }
+
+    def clear(self) -> None:
+        """Forget all when this VM does not lead."""
+        self._since.clear()
+
+
 def choose_members(view: MembershipView) -> tuple[VmId, ...]:
     """Return the VMs that are to be voters.
 
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -38,7 +38,11 @@
 from plantainstand_control._directory import ClientLocation, choose_entry_vms
 from plantainstand_control._entries import EntryRegistry
 from plantainstand_control._limits import LimitExchange
-from plantainstand_control._members import MembershipView, choose_members
+from plantainstand_control._members import (
+    AbsenceRecord,
+    MembershipView,
+    choose_members,
+)
 from plantainstand_control._operator import OperatorService
 from plantainstand_control._peers import Peers
 from plantainstand_control._poller import (
@@ -157,6 +161,7 @@
         )
         self._link_peers: dict[Link, _LinkPeer] = {}
         self._entries = EntryRegistry(self._peers.broadcast)
+        self._absences = AbsenceRecord(clock)
         self._limits = LimitExchange(clock)
         self._rosters = RosterSender(
             RosterInputs(
@@ -243,15 +248,20 @@
     async def _change_members(self) -> None:
         replica = self._replicas.replica
         status = self._replicas.status
-        if replica is None or status is None or not status.formed:
-            return
-        if not status.has_quorum_contact:
+        if (
+            replica is None
+            or status is None
+            or not (status.formed and status.has_quorum_contact)
+        ):
+            self._absences.clear()
             return
+        absent = self._absences.update(status)
         view = MembershipView(
             status.members,
             {
                 vm: control_vm.region
                 for vm, control_vm in self._peers.live_vms().items()
+                if vm not in absent
             },
             self._settings.tolerated_losses,
         )
@@ -264,6 +274,7 @@
             before=list(status.members),
             after=list(members),
             live=sorted(view.live_regions),
+            absent=sorted(absent),
             outcome=str(outcome),
         )
 
