--- a/tests/control/test_voter_set.py
+++ b/tests/control/test_voter_set.py
@@ -7,7 +7,7 @@
 from plantainstand_control._voter_set import VoterSetGaps, describe_voter_set
 from plantainstand_core import VmId
 
-from tests.consensus.simulated_cluster import SimulatedCluster
+from tests.consensus.simulated_cluster import ROUND, SimulatedCluster
 
 _VMS = tuple(VmId(name) for name in 'abcdef')
 _ROUNDS = 80
@@ -44,7 +44,8 @@
         )
         self.assertEqual(self._describe(), expected)
         learned = set()
-        for _round in range(_ROUNDS):
+        end = self.cluster.now + _ROUNDS * ROUND
+        while self.cluster.now < end:
             self.cluster.run_rounds(1, [*reached, VmId('f')])
             learned.add(self._describe().learning)
         self.assertEqual(learned, {(), (VmId('f'),)})
