HTTP client: an exchange acts on its connection only until its own end

What callers saw: a 504, or an answer cut short, long before the deadline and while the target was at work; the log said "attempt failed" with the detail "body not whole at the deadline". No SIGTERM is needed for it.

Cause: what belongs to one exchange was kept on the connection, and acted after the connection had begun the next one. Between the last byte of a response and the next turn of its caller, a further request may take the connection. - The caller then set a timer with the time left of its own exchange, and the timer ended the next response. If the next response set a timer too, the handle of the first was overwritten and never cancelled, so that it ended a later one still. - A caller that was cancelled in that moment closed the connection of the next exchange. - The reader of a body that had arrived whole resumed the paused body of the next exchange, which then held more than its buffer.

Change: an Exchange owns its future, its timer and the callbacks of its stream. Its time starts before the request leaves and covers head and body. After its end nothing that holds it reaches the connection.

Ruled out by reading: a connection twice in the pool (a response completes once, and a connection leaves the pool before it is used); the stream's abort after the end of its body (the stream knows its end); close_idle, which closes only connections that carry nothing.

--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -92,7 +92,6 @@
 
     def __init__(
         self,
-        source: StreamSource,
         delivered: Callable[[TargetResponse], None],
         completed: Callable[[], None],
     ):
@@ -100,7 +99,7 @@
         last byte of that response has been read."""
         self.may_reuse = True
         self.idle_limit = DEFAULT_IDLE_LIMIT
-        self._source = source
+        self._source: StreamSource | None = None
         self._delivered = delivered
         self._completed = completed
         self._parser = httptools.HttpResponseParser(self)
@@ -121,9 +120,19 @@
         """Whether a response, or the rest of one, has yet to arrive."""
         return self._expecting
 
-    def expect(self, identity: EchoedHeader, *, head_only: bool) -> None:
-        """Expect the response to a request that is sent now."""
+    def expect(
+        self,
+        identity: EchoedHeader,
+        source: StreamSource,
+        *,
+        head_only: bool,
+    ) -> None:
+        """Expect the response to a request that is sent now.
+
+        ``source`` controls the exchange from the stream of a large body.
+        """
         self._identity = identity
+        self._source = source
         self._head_only = head_only
         self._expecting = True
         self._exchanges += 1
@@ -251,6 +260,7 @@
         partial = self._partial
         if partial.is_mismatched:
             return
+        assert self._source is not None  # noqa: S101
         self._stream = BodyStream(self._source)
         if partial.body:
             self._stream.feed(bytes(partial.body))
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -14,7 +14,8 @@
 from result import Err, Ok, Result
 
 from plantainstand_http._answer_reader import EchoedHeader, TargetResponse
-from plantainstand_http._connection import ExchangeResult, TargetConnection
+from plantainstand_http._connection import TargetConnection
+from plantainstand_http._exchange import ExchangeResult
 from plantainstand_http._pacing import PieceBudget
 from plantainstand_http._stream import ExchangeFailure, FailureKind
 
@@ -69,29 +70,15 @@
             self._release(address, connection)
             detail = 'the permission to send has ended'
             return Err(ExchangeFailure(FailureKind.NOT_SENT, detail))
-        waiter = connection.send(
-            payload,
-            echoed_header,
-            partial(self._release, address, connection),
-            head_only=head_only,
+        time_left = timeout - (self._clock.monotonic() - started)
+        exchange = connection.send(
+            payload, echoed_header, time_left, head_only=head_only
         )
-        left = timeout - (self._clock.monotonic() - started)
-        done = False
-        try:
-            await asyncio.wait((waiter,), timeout=left.total_seconds())
-            done = waiter.done()
-        finally:
-            # A cancelled caller would not close the stream of the response.
-            if not done:
-                connection.abort()
-        if not done:
+        outcome = await exchange.wait()
+        if _is_timeout(outcome):
             # Other idle connections may have lost their network path as well.
             self.close_idle(address)
-            return Err(ExchangeFailure(FailureKind.TIMED_OUT, 'no answer'))
-        connection.set_stream_timeout(
-            timeout - (self._clock.monotonic() - started)
-        )
-        return waiter.result()
+        return outcome
 
     async def fetch(
         self,
@@ -153,7 +140,11 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 _transport, connection = await loop.create_connection(
-                    lambda: TargetConnection(self._clock, self._budget),
+                    lambda: TargetConnection(
+                        self._clock,
+                        self._budget,
+                        partial(self._release, address),
+                    ),
                     host,
                     int(port),
                 )
@@ -169,6 +160,11 @@
             connection.abort()
 
 
+def _is_timeout(outcome: ExchangeResult) -> bool:
+    failure = outcome.err()
+    return failure is not None and failure.kind is FailureKind.TIMED_OUT
+
+
 async def read_whole(answer: TargetResponse, max_bytes: int) -> ExchangeResult:
     """Collect the rest of a response; fail if it exceeds ``max_bytes``."""
     rest = answer.rest
--- a/libraries/http/plantainstand_http/_connection.py
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -5,13 +5,13 @@
 from datetime import timedelta
 
 from plantainstand_core import Clock
-from result import Err, Ok, Result
 
 from plantainstand_http._answer_reader import (
     EchoedHeader,
     ResponseReader,
     TargetResponse,
 )
+from plantainstand_http._exchange import Exchange
 from plantainstand_http._pacing import PacedInput, PieceBudget
 from plantainstand_http._stream import (
     ExchangeFailure,
@@ -22,28 +22,27 @@
 SLICE_BYTES = 16 * 1024
 """Bytes that are parsed at once."""
 
-ExchangeResult = Result[TargetResponse, ExchangeFailure]
-
 
 class TargetConnection(asyncio.Protocol):
     """Sends requests and delivers their responses, one after the other."""
 
-    def __init__(self, clock: Clock, budget: PieceBudget):
+    def __init__(
+        self,
+        clock: Clock,
+        budget: PieceBudget,
+        released: Callable[['TargetConnection'], None],
+    ):
         """Create a protocol whose connection is opened by the event loop.
 
-        ``budget`` limits the small pieces of all targets.
+        ``budget`` limits the small pieces of all targets. ``released`` is
+        called after each whole response.
         """
         self._clock = clock
         self._input = PacedInput(budget, SLICE_BYTES, self._parse)
         self._transport: asyncio.Transport | None = None
-        self._reader = ResponseReader(
-            StreamSource(self._input.pause, self._input.resume, self.abort),
-            self._deliver,
-            self._complete,
-        )
-        self._waiter: asyncio.Future[ExchangeResult] | None = None
-        self._released: Callable[[], None] | None = None
-        self._stream_timer: asyncio.TimerHandle | None = None
+        self._released = released
+        self._reader = ResponseReader(self._deliver, self._complete)
+        self._exchange: Exchange | None = None
         self._idle_since = clock.monotonic()
 
     @property
@@ -67,31 +66,28 @@
         self,
         payload: bytes,
         echoed_header: EchoedHeader,
-        released: Callable[[], None],
+        timeout: timedelta,
         *,
         head_only: bool,
-    ) -> 'asyncio.Future[ExchangeResult]':
+    ) -> Exchange:
         """Send a request whose response must echo ``echoed_header``.
 
-        ``released`` is called once the whole response has been read.
+        The response fails unless its body is whole after ``timeout``.
         """
         assert self._transport is not None  # noqa: S101
-        self._waiter = asyncio.get_running_loop().create_future()
-        self._released = released
+        control = StreamSource(
+            self._input.pause, self._input.resume, self.abort
+        )
+        exchange = Exchange(control, self._fail, timeout)
+        self._exchange = exchange
         self._input.begin_message()
-        self._reader.expect(echoed_header, head_only=head_only)
+        self._reader.expect(
+            echoed_header,
+            StreamSource(exchange.pause, exchange.resume, exchange.abort),
+            head_only=head_only,
+        )
         self._transport.write(payload)
-        return self._waiter
-
-    def set_stream_timeout(self, time_left: timedelta) -> None:
-        """Fail the response unless its body is whole after ``time_left``."""
-        if self._reader.is_expecting:
-            self._stream_timer = asyncio.get_running_loop().call_later(
-                max(float(0), time_left.total_seconds()),
-                self._fail,
-                FailureKind.TIMED_OUT,
-                'body not whole at the deadline',
-            )
+        return exchange
 
     def abort(self) -> None:
         """Close at once, so that the target stops working on the request."""
@@ -114,7 +110,7 @@
         self._transport = None
         self._input.close()
         detail = 'connection reset' if problem else 'connection closed'
-        self._fail(FailureKind.BROKEN, detail)
+        self._fail(ExchangeFailure(FailureKind.BROKEN, detail))
 
     def _parse(self, part: bytes | memoryview) -> int:
         if not self._reader.is_expecting:
@@ -123,36 +119,29 @@
             return 0
         fault = self._reader.feed(part)
         if fault is not None:
-            self._fail(FailureKind.BROKEN, fault)
+            self._fail(ExchangeFailure(FailureKind.BROKEN, fault))
         return self._reader.take_small_pieces()
 
     def _deliver(self, answer: TargetResponse) -> None:
-        self._settle(Ok(answer))
+        if self._exchange is not None:
+            self._exchange.deliver(answer)
 
     def _complete(self) -> None:
-        self._cancel_stream_timer()
+        self._end_exchange()
         self._idle_since = self._clock.monotonic()
         if self._transport and self._transport.get_write_buffer_size():
             # The target would parse the unsent rest of the body as a request.
             self._reader.may_reuse = False
         self._input.resume()
-        if self._released is not None:
-            self._released()
+        self._released(self)
 
-    def _fail(self, kind: FailureKind, detail: str) -> None:
-        self._cancel_stream_timer()
+    def _fail(self, failure: ExchangeFailure) -> None:
         self.abort()
-        failure = ExchangeFailure(kind, detail)
         self._reader.fail(failure)
-        self._settle(Err(failure))
-
-    def _settle(self, outcome: ExchangeResult) -> None:
-        waiter = self._waiter
-        self._waiter = None
-        if waiter is not None and not waiter.done():
-            waiter.set_result(outcome)
-
-    def _cancel_stream_timer(self) -> None:
-        if self._stream_timer is not None:
-            self._stream_timer.cancel()
-            self._stream_timer = None
+        self._end_exchange(failure)
+
+    def _end_exchange(self, failure: ExchangeFailure | None = None) -> None:
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None:
+            exchange.end(failure)
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -13,7 +13,7 @@
     MAX_FRAMING_BYTES,
     MAX_MISMATCHED_BODY_BYTES,
 )
-from plantainstand_http._connection import ExchangeResult
+from plantainstand_http._exchange import ExchangeResult
 from plantainstand_http._stream import STREAM_BUFFER_BYTES
 from result import Err
 
--- a/tests/http/test_pieces.py
+++ b/tests/http/test_pieces.py
@@ -158,8 +158,8 @@
     def test_response_headers(self) -> None:
         """Headers without end are a fault before they take memory."""
         source = StreamSource(_ignore, _ignore, _ignore)
-        reader = ResponseReader(source, _ignore, _ignore)
-        reader.expect((b'', None), head_only=False)
+        reader = ResponseReader(_ignore, _ignore)
+        reader.expect((b'', None), source, head_only=False)
         reader.feed(b'HTTP/1.1 200 OK\r\n')
         fault = reader.feed(b'a:b\r\n' * 10_000)
         self.assertIsNotNone(fault)
