HTTP client: a connection that is not read for now carries no next exchange

What callers saw: a response that arrives after its deadline though its target has answered, if the response before it on the connection was made of many small pieces. Not seen in a record; found while looking for what one exchange leaves on its connection.

Cause: small pieces are charged, and their connection is not read until the charge is paid. The timer of that pause went on after the last byte of the response, and the connection counted as usable.

Change: a connection whose input is paused counts as not usable, like one that holds bytes after its response. The pieces stay charged to the budget of all targets, so that a new connection gains nothing.

Evidence: test_pieces_of_the_one_before failed before with AssertionError: 'no answer' != b'2,' and passes after.

--- a/libraries/http/plantainstand_http/_connection.py
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -50,8 +50,9 @@
         """Whether another request may be sent on the connection now."""
         if self._transport is None or self._transport.is_closing():
             return False
-        if self._input.has_rest:
-            # Bytes after the response are no response to anything.
+        if self._input.is_waiting:
+            # Bytes after the response are no response to anything, and the
+            # next response would wait for what this one has cost.
             return False
         idle = self._clock.monotonic() - self._idle_since
         return self._reader.may_reuse and idle < self._reader.idle_limit
--- a/libraries/http/plantainstand_http/_pacing.py
+++ b/libraries/http/plantainstand_http/_pacing.py
@@ -83,9 +83,9 @@
         self._has_logged = False
 
     @property
-    def has_rest(self) -> bool:
-        """Whether received bytes are not parsed yet."""
-        return bool(self._rest)
+    def is_waiting(self) -> bool:
+        """Whether bytes are not parsed yet, or the peer is not read for now."""
+        return bool(self._rest) or self._timer is not None
 
     def open(self, transport: asyncio.Transport) -> None:
         """Control the reading of ``transport``."""
--- a/tests/http/test_exchanges.py
+++ b/tests/http/test_exchanges.py
@@ -9,6 +9,7 @@
 from plantainstand_http import BodyStream, TargetConnectionPool, read_whole
 from plantainstand_http._answer_reader import MAX_COLLECTED_BODY_BYTES
 from plantainstand_http._exchange import ExchangeResult
+from plantainstand_http._pacing import FREE_PIECES, PIECE_INTERVAL
 from plantainstand_http._stream import STREAM_BUFFER_BYTES
 from result import Err
 
@@ -19,6 +20,7 @@
 _WORK_MS = 400
 _LARGE_BYTES = MAX_COLLECTED_BODY_BYTES * 2
 _SETTLING_SECONDS = 0.1
+_PIECES_OF_A_SECOND = timedelta(seconds=1) // PIECE_INTERVAL
 
 
 class SharedConnectionTests(unittest.IsolatedAsyncioTestCase):
@@ -91,6 +93,19 @@
         await asyncio.sleep(_SETTLING_SECONDS)
         self.assertEqual(later._buffered_bytes, buffered_bytes)
 
+    async def test_pieces_of_the_one_before(self) -> None:
+        """Guards against a response that waits for the pieces of another.
+
+        A target that has sent many small pieces is not read for a while. Its
+        next response would arrive after its deadline.
+        """
+        self.pool._budget.charge(_PIECES_OF_A_SECOND)
+        first = Task(1, chunk_bytes=1, body_bytes=FREE_PIECES * 2)
+        outcome = await self._exchange(first)
+        self.assertEqual(_body_or_detail(outcome), first.body)
+        outcome = await self._exchange(Task(2), _SHORT)
+        self.assertEqual(_body_or_detail(outcome), Task(2).body)
+
     async def _end_exchange(
         self, task: Task, timeout: timedelta
     ) -> 'asyncio.Task[ExchangeResult]':
--- a/tests/http/working_target.py
+++ b/tests/http/working_target.py
@@ -4,6 +4,8 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
+import msgspec
+
 _PART_BYTES = 8 * 1024
 """Bytes of a body that are written at once."""
 
@@ -20,16 +22,18 @@
     sending_ms: int = 0
     """Time between the head and the last part of the body."""
 
+    chunk_bytes: int = 0
+    """Length of the chunks of the body, or 0 for a body of stated length."""
+
     cut: bool = False
     """Whether the target closes the connection in place of the last part."""
 
     @property
     def payload(self) -> bytes:
         """The encoded request."""
-        fields = (self.work_ms, self.body_bytes, self.sending_ms, self.cut)
-        path = '/'.join(str(int(each)) for each in fields)
-        lines = (f'GET /{path} HTTP/1.1', f'x-id: {self.request_id}', '', '')
-        return '\r\n'.join(lines).encode()
+        description = msgspec.json.encode(self)
+        lines = (b'GET / HTTP/1.1', b'x-task: %s' % description, b'', b'')
+        return b'\r\n'.join(lines)
 
     @property
     def identity(self) -> tuple[bytes, bytes]:
@@ -87,19 +91,20 @@
 
 
 def _decode(head: bytes) -> Task:
-    request_line, identity, *_rest = head.decode().split('\r\n')
-    path = request_line.split(' ')[1]
-    work_ms, body_bytes, sending_ms, cut = map(int, path[1:].split('/'))
-    request_id = int(identity.partition(': ')[2])
-    return Task(request_id, work_ms, body_bytes, sending_ms, bool(cut))
+    description = head.partition(b'x-task: ')[2]
+    return msgspec.json.decode(description.strip(), type=Task)
 
 
 async def _run(task: Task, writer: asyncio.StreamWriter) -> bool:
     """Answer; return whether the connection stays open."""
     await asyncio.sleep(task.work_ms / 1000)
-    head = 'HTTP/1.1 200 OK\r\nX-Id: {0}\r\nContent-Length: {1}\r\n\r\n'
-    writer.write(head.format(task.request_id, task.body_bytes).encode())
+    head = 'HTTP/1.1 200 OK\r\nX-Id: {0}\r\n{1}\r\n\r\n'
+    framing = f'Content-Length: {task.body_bytes}'
     body = task.body
+    if task.chunk_bytes:
+        framing = 'Transfer-Encoding: chunked'
+        body = _chunked(body, task.chunk_bytes)
+    writer.write(head.format(task.request_id, framing).encode())
     last = max(len(body) - _PART_BYTES, 0)
     writer.write(body[:last])
     await writer.drain()
@@ -108,3 +113,11 @@
         writer.write(body[last:])
         await writer.drain()
     return not task.cut
+
+
+def _chunked(body: bytes, chunk_bytes: int) -> bytes:
+    chunks = []
+    for start in range(0, len(body), chunk_bytes):
+        chunk = body[start : start + chunk_bytes]
+        chunks.append(b'%x\r\n%s\r\n' % (len(chunk), chunk))
+    return b''.join((*chunks, b'0\r\n\r\n'))
