Target list: a reading that ends late does not undo a newer one

What follows from it: for up to one reading, a control VM takes a target that leaves for usable, or one that is new for unknown, and tells its entry VMs so.

Cause: while a control VM waits for the list service, it may adopt the list that another control VM has read since. Its own reading, begun earlier, then replaced that list, whatever its age.

Change: a reading that began before the list held was seen is dropped. The time of the next reading does not change.

--- a/libraries/control/plantainstand_control/_poller.py
+++ b/libraries/control/plantainstand_control/_poller.py
@@ -171,6 +171,9 @@
             return
         self._record_readability(None)
         self._calls_per_reading = outcome.ok_value.calls
+        if started_at < self._listing.seen_at:
+            # Another control VM has read the list since.
+            return
         update = self._apply_reading(outcome.ok_value.entries, started_at)
         self._share(update)
 
--- a/tests/control/test_poller.py
+++ b/tests/control/test_poller.py
@@ -174,6 +174,27 @@
         assert full is not None
         self.assertEqual(_target_names(full), (['new'], []))
 
+    async def test_reading_that_ends_late(self) -> None:
+        """Guards against a slow reading that undoes a newer one.
+
+        Another control VM has read the list meanwhile: a target that it found
+        leaving, or new, would be usable again, or unknown.
+        """
+        reader = _ScriptedReader(Ok(TargetList((entry('old'),), 1)))
+        began_at = SystemClock().monotonic()
+        listing = TargetListing()
+        update = TargetUpdate(
+            full=True, updated=(entry('new'),), removed=(), age_seconds=0
+        )
+        listing.apply(update, SystemClock().monotonic())
+        reader.poller.adopt_if_newer(listing)
+        await reader.poller._read_once(began_at)
+        full = reader.poller.full_update()
+        assert full is not None
+        self.assertEqual(_target_names(full), (['new'], []))
+        self.assertEqual(len(reader.published), 1)
+        self.assertFalse(reader.shared)
+
     def test_takeover_is_fast_enough(self) -> None:
         """A VM of any rank notices a leaving target in time without others."""
         one_target = Ok(TargetList((), 1))
