Probes: a late copy of an answer does not end the next exchange

What callers saw: an attempt broken off with "answer without an id on a used connection", if its connection had carried a probe shortly before.

Cause: a probe has no id, so that it takes any response for its own, also a late copy of the answer to an earlier request on the connection. The connection was then used again, and the probe's own answer came for the next request.

Change: a probe names the header that bears the ids of requests. A response with this header, on a connection that has carried other requests, is returned as before, but the connection is not used again. What a probe concludes does not change, and a target whose probe answers bear an id costs a new connection at most.

Evidence: test_late_copy_for_a_request_without_an_id failed before with AssertionError: <FailureKind.BROKEN: 'broken'> != b'ok' and passes after, as do all of tests/http and tests/edge.

--- a/libraries/edge/plantainstand_edge/_probes.py
+++ b/libraries/edge/plantainstand_edge/_probes.py
@@ -75,7 +75,11 @@
         address = state.entry.address
         head = f'GET {health_path} HTTP/1.1\r\nhost: {address}\r\n\r\n'
         outcome = await self._pool.fetch(
-            address, head.encode(), PROBE_TIMEOUT, MAX_PROBE_BYTES
+            address,
+            head.encode(),
+            PROBE_TIMEOUT,
+            MAX_PROBE_BYTES,
+            foreign_header=self._header_codec.request_id_header,
         )
         if isinstance(outcome, Err):
             self._log_answer(state, asked_at, outcome.err_value.detail)
--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -61,7 +61,8 @@
 
 EchoedHeader = tuple[bytes, bytes | None]
 """Lower-case name and value of the header that a response must echo; with None
-as the value, any response is accepted."""
+as the value, any response is accepted, and one with the header is taken for
+that to an earlier request."""
 
 
 @dataclass(slots=True)
@@ -244,10 +245,13 @@
 
     def _check_identity(self) -> None:
         name, expected = self._identity
-        if expected is None:
-            return
         echoed = self._partial.header(name)
         used = self._exchanges > 1
+        if expected is None:
+            if echoed is not None and used:
+                # The own response may follow this copy of an earlier one.
+                self.may_reuse = False
+            return
         if echoed is None and used:
             # It may be a late copy of an earlier response.
             self._fault = 'answer without an id on a used connection'
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -86,12 +86,17 @@
         payload: bytes,
         timeout: timedelta,
         max_bytes: int,
+        *,
+        foreign_header: bytes = b'',
     ) -> ExchangeResult:
-        """Send a request; return the whole response, at most ``max_bytes``."""
+        """Send a request; return the whole response, at most ``max_bytes``.
+
+        ``foreign_header`` names a header of responses to other requests.
+        """
         outcome = await self.exchange(
             address,
             payload,
-            (b'', None),
+            (foreign_header, None),
             timeout,
         )
         if isinstance(outcome, Err):
--- a/tests/edge/test_probes.py
+++ b/tests/edge/test_probes.py
@@ -25,13 +25,21 @@
 class _Pool:
     def __init__(self, outcome: Outcome):
         self.sent: list[bytes] = []
+        self.foreign_headers: list[bytes] = []
         self._outcome = outcome
 
     async def fetch(
-        self, _address: str, payload: bytes, _timeout: timedelta, _limit: int
+        self,
+        _address: str,
+        payload: bytes,
+        _timeout: timedelta,
+        _limit: int,
+        *,
+        foreign_header: bytes,
     ) -> Outcome:
         """See ``TargetConnectionPool.fetch``."""
         self.sent.append(payload)
+        self.foreign_headers.append(foreign_header)
         await asyncio.sleep(0)
         return self._outcome
 
@@ -71,6 +79,8 @@
                 gone = outcome == _answer(200, target=b'other')
                 self.assertEqual(state.is_backing_off(now), gone)
                 self.assertIn(b'GET /health HTTP/1.1', pool.sent[0])
+                header = HEADER_CODEC.request_id_header
+                self.assertEqual(pool.foreign_headers, [header])
 
     async def test_service_without_a_policy(self) -> None:
         """There is no path to ask on."""
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -204,6 +204,35 @@
                 )
                 self.assertEqual(_body_or_failure(outcome), expected)
 
+    async def test_late_copy_for_a_request_without_an_id(self) -> None:
+        """Guards against an answer that ends the next exchange.
+
+        A request without an id, such as a probe, takes the late copy of an
+        earlier answer for its own. Its own answer then comes for the next one.
+        """
+        unnamed = _MATCHING.replace(b'X-Id: mine\r\n', b'')
+        cases = (
+            ('copy first', (_MATCHING, unnamed), 2),
+            ('own answer', (unnamed, _MATCHING), 1),
+        )
+        for name, answers, connection_count in cases:
+            with self.subTest(name):
+                self.pool.opened_count = 0
+                scripts = [Script((_MATCHING, *answers)), Script((_MATCHING,))]
+                target = ScriptedTarget(scripts)
+                await target.start(self.stack)
+                await self._send(target)
+                fetched = await self.pool.fetch(
+                    target.address,
+                    _REQUEST,
+                    _TIMEOUT,
+                    MAX_COLLECTED_BODY_BYTES,
+                    foreign_header=b'x-id',
+                )
+                self.assertEqual(_body_or_failure(fetched), b'ok')
+                self.assertEqual(await self._send(target), b'ok')
+                self.assertEqual(self.pool.opened_count, connection_count)
+
     async def test_late_copy_in_pieces(self) -> None:
         """A connection on which a second response has begun is not reused."""
         target = ScriptedTarget(
