--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -61,7 +61,8 @@
 
 EchoedHeader = tuple[bytes, bytes | None]
 """Lower-case name and value of the header that a response must echo; with None
-as the value, any response is accepted."""
+as the value, any response is accepted, and one with the header is taken for
+that to an earlier request."""
 
 
 @dataclass(slots=True)
@@ -92,7 +93,6 @@
 
     def __init__(
         self,
-        source: StreamSource,
         delivered: Callable[[TargetResponse], None],
         completed: Callable[[], None],
     ):
@@ -100,7 +100,7 @@
         last byte of that response has been read."""
         self.may_reuse = True
         self.idle_limit = DEFAULT_IDLE_LIMIT
-        self._source = source
+        self._source: StreamSource | None = None
         self._delivered = delivered
         self._completed = completed
         self._parser = httptools.HttpResponseParser(self)
@@ -121,9 +121,19 @@
         """Whether a response, or the rest of one, has yet to arrive."""
         return self._expecting
 
-    def expect(self, identity: EchoedHeader, *, head_only: bool) -> None:
-        """Expect the response to a request that is sent now."""
+    def expect(
+        self,
+        identity: EchoedHeader,
+        source: StreamSource,
+        *,
+        head_only: bool,
+    ) -> None:
+        """Expect the response to a request that is sent now.
+
+        ``source`` controls the exchange from the stream of a large body.
+        """
         self._identity = identity
+        self._source = source
         self._head_only = head_only
         self._expecting = True
         self._exchanges += 1
@@ -235,10 +245,13 @@
 
     def _check_identity(self) -> None:
         name, expected = self._identity
-        if expected is None:
-            return
         echoed = self._partial.header(name)
         used = self._exchanges > 1
+        if expected is None:
+            if echoed is not None and used:
+                # The own response may follow this copy of an earlier one.
+                self.may_reuse = False
+            return
         if echoed is None and used:
             # It may be a late copy of an earlier response.
             self._fault = 'answer without an id on a used connection'
@@ -251,6 +264,7 @@
         partial = self._partial
         if partial.is_mismatched:
             return
+        assert self._source is not None  # noqa: S101
         self._stream = BodyStream(self._source)
         if partial.body:
             self._stream.feed(bytes(partial.body))
