plantainstandd: what a leader decided in one term does not act in a later one

What can follow from it: two VMs use the same share for a moment. A VM that another leader has heard is reclaimed, or a VM that another leader has reclaimed gets support again.

Cause: a step of the leader's duties waits up to three seconds for a proposal. Meanwhile another VM may lead and this one lead again. The rest of the step, and the answers to heartbeats, then used the grantor of the earlier term, which has not heard what the other leader has, before the read barrier of the new term.

Change: proposals and heartbeat answers need the term in which this VM has passed its read barrier.

--- a/libraries/daemon/plantainstand_daemon/_leader.py
+++ b/libraries/daemon/plantainstand_daemon/_leader.py
@@ -98,7 +98,7 @@
     @property
     def is_active(self) -> bool:
         """Whether this VM leads and has applied its own term's first entry."""
-        return self._grantor is not None
+        return self._grantor is not None and self._is_same_term()
 
     async def run(self) -> None:
         """Perform the leader's duties until cancelled, while this VM leads."""
@@ -120,7 +120,9 @@
         grantor = self._grantor
         # Checked for each heartbeat, because a leader without quorum contact
         # must stop granting support within the quorum contact timeout.
-        if grantor is None or not self._replica.status().has_quorum_contact:
+        if grantor is None or not (
+            self._is_same_term() and self._replica.status().has_quorum_contact
+        ):
             return HeartbeatAnswer(HeartbeatStatus.NO_QUORUM)
         now = self._clock.monotonic()
         # Without the current view, a VM that has just registered would be
@@ -240,7 +242,17 @@
     async def _propose_all(self, commands: Iterable[AnyCommand]) -> None:
         await asyncio.gather(*(self._propose(command) for command in commands))
 
+    def _is_same_term(self) -> bool:
+        """Return whether this VM still leads in the term of its decisions.
+
+        Others may have led meanwhile, and this VM may lead again.
+        """
+        status = self._replica.status()
+        return status.role is Role.LEADER and status.term == self._term
+
     async def _propose(self, command: AnyCommand) -> object:
+        if not self._is_same_term():
+            return None
         proposed = await self._replica.propose(
             wrap_command(CommandKind.SHARES, encode_command(command)),
             _PROPOSE_TIMEOUT,
