Log: a new leader takes no empty disk for caught up

Follows: a leader that had started again and had not committed anything compared a learner with its commit index of 0, so an empty disk could become a voter before it had the log. Commits then waited for the whole transfer. Found by reading; test_empty_learner_of_a_new_leader failed before (the lost disk was removed from the voters though the new one had nothing).

--- a/libraries/consensus/plantainstand_consensus/_replica_table.py
+++ b/libraries/consensus/plantainstand_consensus/_replica_table.py
@@ -85,10 +85,12 @@
         It is compared with what was committed when the message left that it
         answers. Later commits may always be on their way: a replica that is
         farther from the leader than a majority never has all of them while
-        commands keep coming.
+        commands keep coming. A leader that has not committed anything yet does
+        not know what is committed.
         """
-        if progress.match_index >= self._committed_at(sent_at):
-            progress.has_caught_up = True
+        if self._commits:
+            committed = self._committed_at(sent_at)
+            progress.has_caught_up |= progress.match_index >= committed
 
     def caught_up_learners(self, since: timedelta) -> Collection[Node]:
         """Return the learners that keep up and answered since then."""
@@ -127,8 +129,4 @@
     def _committed_at(self, instant: timedelta) -> int:
         """Return the commit index at a time, or a newer one if forgotten."""
         known = [index for at, index in self._commits if at <= instant]
-        if known:
-            return known[-1]
-        return (
-            self._commits[0][1] if self._commits else self._state.commit_index
-        )
+        return known[-1] if known else self._commits[0][1]
--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -196,6 +196,19 @@
             _acknowledge(core, _LEARNER, index - 1, sent_at)
         self.assertNotIn(_VOTERS[2], core.state.log.configuration.voters)
 
+    def test_empty_learner_of_a_new_leader(self) -> None:
+        """Guards against an empty disk that becomes a voter without the log.
+
+        A leader that has started again knows of no commit at first.
+        """
+        core = _leader()
+        core.receive(_LEARNER.vm, JoinRequest(_LEARNER.disk, founding=False))
+        core.take_effects()
+        _acknowledge(core, _LEARNER, 0)
+        _acknowledge(core, _VOTER, 3)
+        _acknowledge(core, _VOTER, 3)
+        self.assertEqual(core.state.log.configuration.voters, _VOTERS)
+
     def test_change_waits_for_commit_in_own_term(self) -> None:
         """No voter change starts before an entry of this term is committed."""
         core = _leader()
