Log client connections that end with something left to be done

After a planned stop the logs said that an answer was passed on, but not whether its last bytes had left or why the connection ended. A process that ends, a close that crosses a request and a client that resets its connection looked the same.

One line per such connection, 'client connection cut', now gives the cause, the ids of unanswered requests and of the last answered one, and the bytes that the client has not acknowledged and that this process has not read, as the kernel counts them. Connections that end with nothing left log nothing, so usual traffic costs no line.

--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -144,6 +144,7 @@
             self._steering.handle,
             clock,
             self._steering.may_overlap,
+            log_id=self._steering.log_id,
         )
         self._status_server = HttpServer(
             self._answer_status, clock, limits=SHORT_CALLS
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -176,6 +176,11 @@
         match = self._inputs.desired_view.match(metadata.host, metadata.path)
         return match is not None and match.route.idempotent
 
+    def log_id(self, request: Request) -> str:
+        """Return the id under which a request is logged."""
+        metadata = self._header_codec.read_request_metadata(request)
+        return '' if metadata is None else metadata.log_id
+
     def _exit_loop_time(self) -> float | None:
         """Return the time on the event loop's clock at which the VM exits."""
         if self._exit_at is None:
--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -17,6 +17,7 @@
     ServerState,
 )
 from plantainstand_http._reader import RequestReader
+from plantainstand_http._socket_queues import SocketQueues, read_queues
 
 _log = structlog.get_logger()
 
@@ -31,6 +32,9 @@
 SLICE_BYTES = 4096
 """Bytes that are parsed at once: some two hundred of the shortest requests."""
 
+MAX_LOGGED_REQUESTS = 8
+"""Ids of unanswered requests in one log line."""
+
 RETRY_AFTER_SECONDS = b'0.5'
 """Retry-After of a request whose body does not fit into the buffer."""
 
@@ -58,6 +62,7 @@
         self._output: ClientOutput | None = None
         self._last_activity = clock.monotonic()
         self._own_buffered_bytes = 0
+        self._is_aborted = False
 
     @property
     def busy(self) -> bool:
@@ -77,6 +82,16 @@
 
     def connection_lost(self, _problem: Exception | None) -> None:
         """Cancel the requests of a client that has disconnected."""
+        if self._transport is not None and not self._is_aborted:
+            queues = read_queues(self._transport)
+            is_ended = self._output is not None and self._output.is_ended
+            cause = 'closed by this VM' if is_ended else 'client left'
+            if (
+                queues.unsent_bytes
+                or queues.unread_bytes
+                or self._pipeline.is_answering
+            ):
+                _log_cut(cause, queues, self._server, self._pipeline)
         self._server.connections.discard(self)
         self._transport = None
         self._input.close()
@@ -128,8 +143,13 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        queues = read_queues(self._transport)
+        if self.busy or queues.unsent_bytes or queues.unread_bytes:
+            _log_cut('process ends', queues, self._server, self._pipeline)
+        self._is_aborted = True
+        self._transport.abort()
 
     def _parse(self, part: bytes | memoryview) -> int:
         if self._pipeline.input_ended:
@@ -203,6 +223,27 @@
             self._output.end()
 
 
+def _log_cut(
+    cause: str,
+    queues: SocketQueues,
+    server: ServerState,
+    pipeline: RequestPipeline,
+) -> None:
+    """Log a connection that ends with something left to be done."""
+    unanswered = pipeline.unanswered
+    answered = pipeline.last_answered
+    logged = unanswered[:MAX_LOGGED_REQUESTS]
+    _log.info(
+        'client connection cut',
+        cause=cause,
+        unanswered=[server.log_id(request) for request in logged],
+        unanswered_count=len(unanswered),
+        last_answered=answered and server.log_id(answered),
+        unsent_bytes=queues.unsent_bytes,
+        unread_bytes=queues.unread_bytes,
+    )
+
+
 def _latest_end(reader: RequestReader, limits: ClientLimits) -> timedelta:
     """Return the time at which the rest of a request must have come."""
     if reader.reading_head:
--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -52,11 +52,15 @@
         """Whether more can be sent."""
         return self._close_at is None and not self._transport.is_closing()
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the end of output has been written."""
+        return self._close_at is not None
+
     @property
     def is_flushing(self) -> bool:
         """Whether bytes, or the end of output, are yet to be sent."""
-        ending = self._close_at is not None
-        return ending or self._transport.get_write_buffer_size() > 0
+        return self.is_ended or self._transport.get_write_buffer_size() > 0
 
     def pause_streams(self) -> None:
         """Pause streams while the client does not read."""
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -66,6 +66,10 @@
         """Close the connection at once."""
 
 
+def _no_id(_request: Request) -> str:
+    return ''
+
+
 @dataclass
 class ServerState:
     """State shared by all connections of a server."""
@@ -79,6 +83,9 @@
     budget: PieceBudget
     """Limits the small pieces of all clients."""
 
+    log_id: Callable[[Request], str] = _no_id
+    """Returns the id of a request for log lines, empty if it has none."""
+
     limits: ClientLimits = field(default_factory=ClientLimits)
     closing: bool = False
     """Whether connections close after the requests already read."""
@@ -111,6 +118,8 @@
         self._output: ClientOutput | None = None
         self._waiting: deque[tuple[Request, Response | None]] = deque()
         self._tasks: deque[asyncio.Task[None]] = deque()
+        self._started: deque[Request] = deque()
+        self._last_answered: Request | None = None
         self._last_started: tuple[Request, Response | None] | None = None
         self._input_ended = False
         self._body_bytes = 0
@@ -135,6 +144,17 @@
         """Total size of the bodies of requests without a response."""
         return self._body_bytes
 
+    @property
+    def unanswered(self) -> tuple[Request, ...]:
+        """Requests whose responses have not been written whole."""
+        waiting = (request for request, _ready in self._waiting)
+        return (*self._started, *waiting)
+
+    @property
+    def last_answered(self) -> Request | None:
+        """Request whose response was the last to be written whole."""
+        return self._last_answered
+
     def open(self, output: ClientOutput) -> None:
         """Send responses to ``output``."""
         self._output = output
@@ -171,6 +191,7 @@
             work = self._run(request, ready, predecessor)
             task = asyncio.get_running_loop().create_task(work)
             self._tasks.append(task)
+            self._started.append(request)
             self._last_started = (request, ready)
 
     def _may_start(self, request: Request, ready: Response | None) -> bool:
@@ -200,6 +221,7 @@
                 if response.rest is not None:
                     response.rest.close()
         self._tasks.popleft()
+        self._started.popleft()
         self._body_bytes -= len(request.body)
         if not self._tasks:
             self._last_started = None
@@ -233,5 +255,7 @@
         is_last = not self._waiting and len(self._tasks) == 1
         close = self._input_ended and is_last
         is_whole = await output.send(request, response, close=close)
+        if is_whole:
+            self._last_answered = request
         if is_whole and close:
             self._events.end_output()
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -29,18 +29,22 @@
         clock: Clock,
         may_overlap: Callable[[Request], bool] | None = None,
         limits: ClientLimits | None = None,
+        log_id: Callable[[Request], str] | None = None,
     ):
         """Serve with default limits, if none are given or set later.
 
         ``may_overlap`` tells which pipelined requests may be handled before the
-        preceding ones have their responses; without it, none.
+        preceding ones have their responses; without it, none. ``log_id``
+        returns the id of a request for log lines.
         """
         self._state = ServerState(
             handler,
             may_overlap or _never,
             PieceBudget(clock),
-            limits or ClientLimits(),
+            limits=limits or ClientLimits(),
         )
+        if log_id is not None:
+            self._state.log_id = log_id
         self._clock = clock
         self._listener: asyncio.Server | None = None
 
--- /dev/null
+++ b/tests/http/test_planned_close.py
@@ -0,0 +1,111 @@
+"""Guards answers that are under way while the server closes connections."""
+
+import asyncio
+import socket
+import unittest
+from contextlib import AsyncExitStack
+from unittest.mock import Mock, patch
+
+from plantainstand_core import SystemClock
+from plantainstand_http import HttpServer, Request, Response
+
+_DEADLINE_SECONDS = 10
+_CONNECTION_LOG = 'plantainstand_http._client_connection._log'
+_LARGE = bytes(range(250)) * 2_400
+
+
+class _PlannedCloseCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        """Serve on a free port; a request for /large gets a large body."""
+        self.stack = AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.handled: list[str] = []
+        self.server = HttpServer(
+            self._handle, SystemClock(), log_id=_request_target
+        )
+        await self.server.start('127.0.0.1', 0, self.stack)
+        listener = self.server._listener
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+
+    async def connect(
+        self, receive_buffer: int = 0
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect a client; a small buffer makes it a slow reader."""
+        client = socket.socket()
+        if receive_buffer:
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+            )
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, ('127.0.0.1', self.port))
+        reader, writer = await asyncio.open_connection(sock=client)
+        self.stack.callback(writer.close)
+        return reader, writer
+
+    async def _handle(self, request: Request) -> Response:
+        self.handled.append(_request_target(request))
+        large = request.request_target == b'/large'
+        return Response(200, (), _LARGE if large else b'small')
+
+
+class CutLineTests(_PlannedCloseCase):
+    """A connection that ends early leaves a line with what was lost."""
+
+    async def test_process_ends(self) -> None:
+        """Guards against an answer that is cut and looks whole in the logs."""
+        _reader, writer = await self.connect(receive_buffer=4096)
+        writer.write(_get('/large'))
+        await self.until_handled(1)
+        with patch(_CONNECTION_LOG) as log:
+            await self.stack.aclose()
+        cut = _cut_line(log)
+        self.assertEqual(cut['cause'], 'process ends')
+        self.assertGreater(_as_int(cut['unsent_bytes']), 0)
+        unsent = {cut['last_answered'], *_as_list(cut['unanswered'])}
+        self.assertIn('/large', unsent)
+
+    async def test_client_left(self) -> None:
+        """Tells a client that resets its connection from a server that cut."""
+        _reader, writer = await self.connect(receive_buffer=4096)
+        writer.write(_get('/large'))
+        await self.until_handled(1)
+        with patch(_CONNECTION_LOG) as log:
+            writer.transport.abort()
+            async with asyncio.timeout(_DEADLINE_SECONDS):
+                while not log.info.called:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(_cut_line(log)['cause'], 'client left')
+
+    async def until_handled(self, count: int) -> None:
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while len(self.handled) < count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+
+
+def _get(*paths: str) -> bytes:
+    return ''.join(
+        f'GET {path} HTTP/1.1\r\nhost: a\r\n\r\n' for path in paths
+    ).encode()
+
+
+def _request_target(request: Request) -> str:
+    return request.request_target.decode()
+
+
+def _cut_line(log: Mock) -> dict[str, object]:
+    log.info.assert_called_once()
+    assert log.info.call_args.args == ('client connection cut',)
+    return dict(log.info.call_args.kwargs)
+
+
+def _as_int(field: object) -> int:
+    assert isinstance(field, int)
+    return field
+
+
+def _as_list(field: object) -> list[object]:
+    assert isinstance(field, list)
+    return field
