Close a client connection only once the client has the answer

A client that reads slowly and sends one more request while the last answer of its connection is on its way lost that answer: the connection was reset 0.5 s after the end of output. The answer was logged as passed on.

Closing a socket with unread input, or sending to a closed one, makes the kernel reset the connection and drop what the client has not acknowledged. The close came 0.5 s after the last write to the kernel's buffer, whether or not the client had taken any of it; a process that had no bytes left in its own buffers did not count as busy either.

The close now waits until the client has acknowledged all bytes and the end of output, as the kernel counts them, and a connection with such bytes counts as busy, so that the process waits for it within its grace. A client that takes nothing is dropped after the idle timeout as before. Lingering until the client closes was ruled out: after the end of output and all bytes are acknowledged, a reset takes nothing from the client (the test plays this with a large receive buffer, and it passed before).

The tests failed before: ConnectionResetError on reading the answer, and busy_count 0 instead of 1.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -67,9 +67,8 @@
     @property
     def busy(self) -> bool:
         """Whether a request is unfinished or a response is not fully sent."""
-        is_reading = self._reader.started and not self._pipeline.input_ended
         is_flushing = self._output is not None and self._output.is_flushing
-        return self._pipeline.is_answering or is_reading or is_flushing
+        return is_flushing or not _is_idle(self._pipeline, self._reader)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
@@ -138,7 +137,7 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or answered."""
-        if not self.busy:
+        if _is_idle(self._pipeline, self._reader):
             self._end_output()
 
     def abort(self) -> None:
@@ -244,6 +243,12 @@
     )
 
 
+def _is_idle(pipeline: RequestPipeline, reader: RequestReader) -> bool:
+    """Tell whether no request is being read or answered."""
+    is_reading = reader.started and not pipeline.input_ended
+    return not (pipeline.is_answering or is_reading)
+
+
 def _latest_end(reader: RequestReader, limits: ClientLimits) -> timedelta:
     """Return the time at which the rest of a request must have come."""
     if reader.reading_head:
--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -15,14 +15,16 @@
     encode_stream_head,
     stated_length,
 )
+from plantainstand_http._socket_queues import read_queues
 from plantainstand_http._stream import BodyStream
 
 _log = structlog.get_logger()
 
 CLOSE_DELAY = timedelta(milliseconds=500)
-"""Time between the end of output and the close. Closing while unread bytes of
-the client are pending resets the connection, and a response in transit would
-be lost."""
+"""Least time between the end of output and the close, so that most clients
+close first. The close waits until the client has acknowledged all bytes: while
+unread bytes of the client are pending it resets the connection, and the kernel
+drops what is in transit."""
 
 
 MAX_WRITE_BYTES = 256 * 1024
@@ -59,8 +61,8 @@
 
     @property
     def is_flushing(self) -> bool:
-        """Whether bytes, or the end of output, are yet to be sent."""
-        return self.is_ended or self._transport.get_write_buffer_size() > 0
+        """Whether the client lacks bytes, or the close is to come."""
+        return self.is_ended or read_queues(self._transport).unsent_bytes > 0
 
     def pause_streams(self) -> None:
         """Pause streams while the client does not read."""
@@ -102,11 +104,16 @@
         return is_whole
 
     def end(self) -> None:
-        """End the output; the connection closes after CLOSE_DELAY."""
-        if self.is_open:
-            self._close_at = self._clock.monotonic() + CLOSE_DELAY
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
+        """End the output; the connection closes once the client has all."""
+        if not self.is_open:
+            return
+        now = self._clock.monotonic()
+        self._close_at = now + CLOSE_DELAY
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        # From now on, bytes that only the kernel holds count as unsent.
+        self._progress_bytes = self._written_bytes - self._unsent_bytes()
+        self._progress_at = now
 
     def check_timeouts(self, now: timedelta, stall_limit: timedelta) -> None:
         """Close an ended connection; abort one that the client stopped reading.
@@ -114,7 +121,7 @@
         ``stall_limit`` is the longest time in which the client reads less than
         MIN_PROGRESS_BYTES.
         """
-        unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self._unsent_bytes()
         sent_bytes = self._written_bytes - unsent_bytes
         read_bytes = sent_bytes - self._progress_bytes
         if read_bytes >= MIN_PROGRESS_BYTES or not unsent_bytes:
@@ -124,7 +131,14 @@
             _log.info('client does not read', unsent_bytes=unsent_bytes)
             self._transport.abort()
         elif self._close_at is not None and now > self._close_at:
-            self._transport.close()
+            if not unsent_bytes:
+                self._transport.close()
+
+    def _unsent_bytes(self) -> int:
+        if not self.is_ended:
+            return self._transport.get_write_buffer_size()
+        queues = read_queues(self._transport)
+        return 0 if queues.has_ended else queues.unsent_bytes
 
     async def _send_whole(self, encoded: bytes) -> bool:
         # The transport copies what it cannot send at once.
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -10,6 +10,7 @@
 from plantainstand_http import HttpServer, Request, Response
 
 _DEADLINE_SECONDS = 10
+_AFTER_CLOSE_SECONDS = 1.2
 _CONNECTION_LOG = 'plantainstand_http._client_connection._log'
 _LARGE = bytes(range(250)) * 2_400
 
@@ -44,6 +45,19 @@
         self.stack.callback(writer.close)
         return reader, writer
 
+    async def until_answered(self, path: str) -> None:
+        """Wait until the response has been passed to the kernel."""
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while path not in self.handled:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+
+    async def until_handled(self, count: int) -> None:
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while len(self.handled) < count:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+
     async def _handle(self, request: Request) -> Response:
         self.handled.append(_request_target(request))
         large = request.request_target == b'/large'
@@ -78,11 +92,41 @@
                     await asyncio.sleep(0.01)
         self.assertEqual(_cut_line(log)['cause'], 'client left')
 
-    async def until_handled(self, count: int) -> None:
+
+class LingeringCloseTests(_PlannedCloseCase):
+    """The client sends one more request while its last answer is sent."""
+
+    async def test_request_crosses_the_close(self) -> None:
+        """Guards against an answer that a reset takes from a slow reader.
+
+        A close with unread input resets the connection, and the kernel drops
+        what the client has not acknowledged.
+        """
+        for receive_buffer in (4096, 4_000_000):
+            with self.subTest(receive_buffer=receive_buffer):
+                reader, writer = await self.connect(receive_buffer)
+                writer.write(_get('/large'))
+                self.server.announce_close()
+                await self.until_answered('/large')
+                writer.write(_get('/crossing'))
+                await asyncio.sleep(_AFTER_CLOSE_SECONDS)
+                async with asyncio.timeout(_DEADLINE_SECONDS):
+                    answer = await reader.read(-1)
+                self.assertTrue(answer.endswith(_LARGE))
+                self.assertNotIn('/crossing', self.handled)
+
+    async def test_unacknowledged_answer_is_busy(self) -> None:
+        """Guards against a process that ends before its answers have left."""
+        reader, writer = await self.connect(receive_buffer=4096)
+        writer.write(_get('/large'))
+        await self.until_answered('/large')
+        self.server.stop_accepting()
+        await asyncio.sleep(_AFTER_CLOSE_SECONDS)
+        self.assertEqual(self.server.busy_count, 1)
         async with asyncio.timeout(_DEADLINE_SECONDS):
-            while len(self.handled) < count:
+            await reader.read(-1)
+            while self.server.busy_count:
                 await asyncio.sleep(0.01)
-            await asyncio.sleep(0.05)
 
 
 def _get(*paths: str) -> bytes:
