Answer all requests that were received before a planned close

Of several requests in one read, those beyond the first 4 KiB were forgotten when the VM stopped: with the answer to an earlier one the connection closed, though they had been read whole. Clients saw a closed connection and could not tell that the requests had not run.

Requests that must not overlap are parsed in slices, the next slice once the earlier requests have their responses; what is left of the read waits meanwhile. At the first response after the close was announced, the connection stopped reading and discarded that rest. The connection also counted as idle between the response and the parsing of the next slice, when a stop could end it.

The announced close now ends receiving, not parsing: the rest is parsed as before, and the response after which nothing is left announces the close. A part of a request that is not whole ends with the connection. A rest counts as busy.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -7,6 +7,7 @@
 import structlog
 from plantainstand_core import Clock
 
+from plantainstand_http._body_buffer import BodyBufferShare
 from plantainstand_http._messages import Headers, Request, Response
 from plantainstand_http._output import ClientOutput
 from plantainstand_http._pacing import PacedInput
@@ -48,6 +49,7 @@
         self._clock = clock
         events = PipelineCallbacks(
             self._stop_reading,
+            self._finish_reading,
             self._end_output,
             self._handle_progress,
         )
@@ -61,14 +63,17 @@
         self._transport: asyncio.Transport | None = None
         self._output: ClientOutput | None = None
         self._last_activity = clock.monotonic()
-        self._own_buffered_bytes = 0
+        self._body_share = BodyBufferShare(server)
         self._is_aborted = False
+        self._is_finishing = False
 
     @property
     def busy(self) -> bool:
         """Whether a request is unfinished or a response is not fully sent."""
         is_flushing = self._output is not None and self._output.is_flushing
-        return is_flushing or not _is_idle(self._pipeline, self._reader)
+        return is_flushing or not _is_idle(
+            self._pipeline, self._reader, self._input
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
@@ -96,8 +101,7 @@
         self._input.close()
         self._output = None
         self._pipeline.cancel()
-        self._server.buffered_body_bytes -= self._own_buffered_bytes
-        self._own_buffered_bytes = 0
+        self._body_share.update(0)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the client."""
@@ -137,7 +141,7 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or answered."""
-        if _is_idle(self._pipeline, self._reader):
+        if _is_idle(self._pipeline, self._reader, self._input):
             self._end_output()
 
     def abort(self) -> None:
@@ -158,10 +162,14 @@
         if not reader.feed(part):
             problem = HTTPStatus.BAD_REQUEST
         problem = problem or _size_problem(reader, self._server.limits)
-        if problem is None and self._update_buffered_bytes():
+        held = reader.body_bytes + self._pipeline.body_bytes
+        is_full = self._body_share.update(held) and reader.body_bytes > 0
+        if problem is None and is_full:
             problem = HTTPStatus.SERVICE_UNAVAILABLE
         if problem is not None:
             self._reject(problem)
+        elif self._is_finishing:
+            self._finish_reading()
         return reader.take_small_pieces()
 
     def _enqueue(self, request: Request) -> None:
@@ -190,26 +198,26 @@
         placeholder = Request(b'', b'', (), b'', self._clock.monotonic())
         self._pipeline.add(placeholder, Response(status, headers, close=True))
 
-    def _update_buffered_bytes(self) -> bool:
-        """Update the buffered bytes.
-
-        Return whether a body is arriving for which the server has no room.
-        """
-        held = self._reader.body_bytes + self._pipeline.body_bytes
-        self._server.buffered_body_bytes += held - self._own_buffered_bytes
-        self._own_buffered_bytes = held
-        server = self._server
-        is_full = server.buffered_body_bytes > server.limits.buffered_body_bytes
-        return is_full and self._reader.body_bytes > 0
-
     def _handle_progress(self) -> None:
         self._last_activity = self._clock.monotonic()
         if self._transport is None:
             return
-        self._update_buffered_bytes()
+        held = self._reader.body_bytes + self._pipeline.body_bytes
+        self._body_share.update(held)
         if not self._pipeline.input_ended and not self._pipeline.is_full:
             self._input.resume()
 
+    def _finish_reading(self) -> None:
+        """Receive nothing more and stop after what has been received."""
+        self._is_finishing = True
+        self._input.end_receiving()
+        if self._input.has_rest:
+            return
+        if self._pipeline.is_answering:
+            self._stop_reading()
+        else:
+            self._end_output()
+
     def _stop_reading(self) -> None:
         """Stop reading; bytes that follow count as not received."""
         self._pipeline.end_input()
@@ -243,9 +251,14 @@
     )
 
 
-def _is_idle(pipeline: RequestPipeline, reader: RequestReader) -> bool:
+def _is_idle(
+    pipeline: RequestPipeline,
+    reader: RequestReader,
+    received: PacedInput,
+) -> bool:
     """Tell whether no request is being read or answered."""
-    is_reading = reader.started and not pipeline.input_ended
+    is_reading = reader.started or received.has_rest
+    is_reading = is_reading and not pipeline.input_ended
     return not (pipeline.is_answering or is_reading)
 
 
--- a/libraries/http/plantainstand_http/_pacing.py
+++ b/libraries/http/plantainstand_http/_pacing.py
@@ -79,6 +79,7 @@
         self._rest: bytes | memoryview = b''
         self._free_pieces = FREE_PIECES
         self._is_paused = False
+        self._has_ended = False
         self._timer: asyncio.TimerHandle | None = None
         self._has_logged = False
 
@@ -87,6 +88,11 @@
         """Whether bytes are not parsed yet, or the peer is not read for now."""
         return bool(self._rest) or self._timer is not None
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether received bytes are not parsed yet."""
+        return bool(self._rest)
+
     def open(self, transport: asyncio.Transport) -> None:
         """Control the reading of ``transport``."""
         self._transport = transport
@@ -101,6 +107,11 @@
         self._rest = b''
         self._end_hold()
 
+    def end_receiving(self) -> None:
+        """Receive nothing more; what was received is still parsed."""
+        self._has_ended = True
+        self._update_reading()
+
     def begin_message(self) -> None:
         """Restore the free pieces for a further message."""
         self._free_pieces = FREE_PIECES
@@ -167,7 +178,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if self._is_paused or self._timer is not None or self._rest:
+        is_held = self._is_paused or self._timer is not None or self._rest
+        if is_held or self._has_ended:
             transport.pause_reading()
         else:
             transport.resume_reading()
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -101,6 +101,10 @@
     stop_reading: Callable[[], None]
     """Called when no more requests are to be read."""
 
+    finish_reading: Callable[[], None]
+    """Called when no more requests are to be received; those that have been
+    received whole are still answered."""
+
     end_output: Callable[[], None]
     """Called when the last response has been sent."""
 
@@ -249,8 +253,10 @@
         output = self._output
         if output is None or not output.is_open:
             return
-        if response.close or self._server.closing:
+        if response.close:
             self._events.stop_reading()
+        elif self._server.closing:
+            self._events.finish_reading()
         # All requests that were read have responses before the close.
         is_last = not self._waiting and len(self._tasks) == 1
         close = self._input_ended and is_last
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -21,6 +21,7 @@
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.handled: list[str] = []
+        self.released = asyncio.Event()
         self.server = HttpServer(
             self._handle, SystemClock(), log_id=_request_target
         )
@@ -60,6 +61,8 @@
 
     async def _handle(self, request: Request) -> Response:
         self.handled.append(_request_target(request))
+        if b'held' in request.request_target:
+            await self.released.wait()
         large = request.request_target == b'/large'
         return Response(200, (), _LARGE if large else b'small')
 
@@ -129,6 +132,45 @@
                 await asyncio.sleep(0.01)
 
 
+class PipelinedCloseTests(_PlannedCloseCase):
+    """Requests that one read returns, though not all are parsed at once."""
+
+    async def test_all_received_requests_are_answered(self) -> None:
+        """Guards against requests that were read and are then forgotten.
+
+        Requests that must not overlap are parsed in slices of 4 KiB, the next
+        one once the earlier ones have their responses.
+        """
+        reader, writer = await self.connect()
+        paths = [f'/held-{number}' for number in range(4)]
+        writer.write(b''.join(_post(path, 3000) for path in paths))
+        await self.until_handled(1)
+        self.server.announce_close()
+        self.released.set()
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read(-1)
+        self.assertEqual(self.handled, paths)
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), len(paths))
+        self.assertEqual(answer.count(b'connection: close'), 1)
+
+    async def test_rest_without_a_whole_request(self) -> None:
+        """Guards against a connection that waits for the rest of a request."""
+        reader, writer = await self.connect()
+        whole = [_post('/held-0', 3000), _post('/held-1', 3000)]
+        writer.write(b''.join((*whole, _post('/part', 9000)[:5000])))
+        await self.until_handled(1)
+        self.server.announce_close()
+        self.released.set()
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read(-1)
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), 2)
+
+
+def _post(path: str, size: int) -> bytes:
+    head = f'POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n'
+    return head.encode() + bytes(size)
+
+
 def _get(*paths: str) -> bytes:
     return ''.join(
         f'GET {path} HTTP/1.1\r\nhost: a\r\n\r\n' for path in paths
