A connection that becomes idle during a planned stop is closed in order

An answer whose sending began before SIGTERM does not announce the close.

Connections that become idle after the VM has stopped listening now end their output as those do that were idle at that moment, and the process waits until their clients have all bytes.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -206,6 +206,8 @@
         self._body_share.update(held)
         if not self._pipeline.input_ended and not self._pipeline.is_full:
             self._input.resume()
+        if not self._server.listening:
+            self.close_if_idle()
 
     def _finish_reading(self) -> None:
         """Receive nothing more and stop after what has been received."""
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -90,6 +90,9 @@
     closing: bool = False
     """Whether connections close after the requests already read."""
 
+    listening: bool = True
+    """Whether connections stay open while they are idle."""
+
     buffered_body_bytes: int = 0
     connections: set[OpenConnection] = field(default_factory=set)
 
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -93,10 +93,11 @@
         self._state.closing = True
 
     def stop_accepting(self) -> None:
-        """Stop listening and close the idle connections.
+        """Stop listening; close connections that are idle, now or later.
 
         Clients that connect later are refused before they have sent anything.
         """
+        self._state.listening = False
         if self._listener is not None:
             self._listener.close()
         for connection in tuple(self._state.connections):
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -165,6 +165,20 @@
             answer = await reader.read(-1)
         self.assertEqual(answer.count(b'HTTP/1.1 200'), 2)
 
+    async def test_connection_becomes_idle_after_the_stop(self) -> None:
+        """Guards against an open connection that the exit resets.
+
+        The response was begun before the close was announced.
+        """
+        reader, writer = await self.connect()
+        writer.write(_post('/held', 0))
+        await self.until_handled(1)
+        self.server.stop_accepting()
+        self.released.set()
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read(-1)
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), 1)
+
 
 def _post(path: str, size: int) -> bytes:
     head = f'POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n'
