A body that fails before its turn does not end the connection

Of pipelined requests, later ones were passed on and answered by their targets, but the client got a closed connection.

The body of a pipelined response is read as far as the buffer goes and then waits for its turn. If its deadline passes meanwhile, the head and the buffered part were sent nevertheless, only to be truncated, and a truncated body ends the connection for all later answers.

At its turn nothing of the response has been sent, so a whole 502 takes the place of a body that is known to have failed. The test failed before with a connection that ended after the head and 100 bytes. A body that fails while it is being sent still ends the connection.

--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -1,7 +1,7 @@
 """Serves one request: matches a route, chooses targets, makes attempts."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -155,7 +155,7 @@
         self._time_limits.add(time_limit)
         try:
             async with time_limit:
-                return await self._serve(active)
+                response = await self._serve(active)
         except TimeoutError:
             return self._respond_at_exit(active)
         except asyncio.CancelledError:
@@ -164,6 +164,12 @@
             raise
         finally:
             self._time_limits.discard(time_limit)
+        if response.rest is None:
+            return response
+        fallback = self._local_response(
+            metadata, HTTPStatus.BAD_GATEWAY, 'the outcome is not known'
+        )
+        return replace(response, fallback=fallback)
 
     def may_overlap(self, request: Request) -> bool:
         """Tell whether a request may be served beside those ahead of it.
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -88,6 +88,9 @@
     """Body that is forwarded while it arrives, instead of ``body``. The server
     closes the stream."""
 
+    fallback: 'Response | None' = None
+    """Whole response that is sent instead if ``rest`` fails before that."""
+
 
 def header_value(
     headers: Iterable[tuple[bytes, bytes]],
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -256,6 +256,7 @@
         output = self._output
         if output is None or not output.is_open:
             return
+        response = _sendable(request, response, self._server)
         if response.close:
             self._events.stop_reading()
         elif self._server.closing:
@@ -268,3 +269,18 @@
             self._last_answered = request
         if is_whole and close:
             self._events.end_output()
+
+
+def _sendable(
+    request: Request, response: Response, server: ServerState
+) -> Response:
+    """Return the response, or its fallback if its body has failed."""
+    rest = response.rest
+    if rest is None or not rest.has_failed or response.fallback is None:
+        return response
+    _log.info(
+        'body failed before its turn on the connection',
+        request=server.log_id(request),
+        status=int(response.fallback.status),
+    )
+    return response.fallback
--- a/libraries/http/plantainstand_http/_stream.py
+++ b/libraries/http/plantainstand_http/_stream.py
@@ -75,6 +75,11 @@
         self._changed = asyncio.Event()
         self._listeners: list[Callable[[StreamEnd], None]] = []
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the body is known to be truncated."""
+        return isinstance(self._end, Err)
+
     def when_closed(self, listener: Callable[[StreamEnd], None]) -> None:
         """Call ``listener`` once, when the reader closes the stream."""
         self._listeners.append(listener)
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -7,7 +7,15 @@
 from unittest.mock import Mock, patch
 
 from plantainstand_core import SystemClock
-from plantainstand_http import HttpServer, Request, Response
+from plantainstand_http import (
+    BodyStream,
+    ExchangeFailure,
+    FailureKind,
+    HttpServer,
+    Request,
+    Response,
+    StreamSource,
+)
 
 _DEADLINE_SECONDS = 10
 _AFTER_CLOSE_SECONDS = 1.2
@@ -22,8 +30,12 @@
         self.addAsyncCleanup(self.stack.aclose)
         self.handled: list[str] = []
         self.released = asyncio.Event()
+        self.stream = BodyStream(StreamSource(_nothing, _nothing, _nothing))
         self.server = HttpServer(
-            self._handle, SystemClock(), log_id=_request_target
+            self._handle,
+            SystemClock(),
+            lambda request: request.method == b'GET',
+            log_id=_request_target,
         )
         await self.server.start('127.0.0.1', 0, self.stack)
         listener = self.server._listener
@@ -64,6 +76,9 @@
         if b'held' in request.request_target:
             await self.released.wait()
         large = request.request_target == b'/large'
+        if request.request_target == b'/failed':
+            replacement = Response(502)
+            return Response(200, rest=self.stream, fallback=replacement)
         return Response(200, (), _LARGE if large else b'small')
 
 
@@ -132,6 +147,26 @@
                 await asyncio.sleep(0.01)
 
 
+class LateBodyTests(_PlannedCloseCase):
+    """A body that waits for its turn on the connection may fail meanwhile."""
+
+    async def test_body_fails_before_its_turn(self) -> None:
+        """Guards against a failed body that takes later answers with it.
+
+        Nothing of the response has been sent, so a whole one can replace it.
+        """
+        reader, writer = await self.connect()
+        writer.write(_get('/held', '/failed', '/small'))
+        await self.until_handled(3)
+        self.stream.feed(bytes(100))
+        self.stream.finish(ExchangeFailure(FailureKind.TIMED_OUT, 'late'))
+        self.released.set()
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.readuntil(b'\r\n\r\nsmall')
+            answer += await reader.readuntil(b'\r\n\r\nsmall')
+        self.assertEqual(answer.count(b'HTTP/1.1 502'), 1)
+
+
 class PipelinedCloseTests(_PlannedCloseCase):
     """Requests that one read returns, though not all are parsed at once."""
 
@@ -180,6 +215,10 @@
         self.assertEqual(answer.count(b'HTTP/1.1 200'), 1)
 
 
+def _nothing() -> None:
+    """Ignore that the source is to pause, resume or end."""
+
+
 def _post(path: str, size: int) -> bytes:
     head = f'POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {size}\r\n\r\n'
     return head.encode() + bytes(size)
