A truncated body no longer resets the answers before it

A body that fails while it is sent ends the connection. The close was immediate: with a further request in the kernel's queue it reset the connection, and a slow reader lost the whole answers that were on their way before the truncated one.

The output now ends after the truncated body, the close waits as any other, and the requests behind it are cancelled at once, since no answer can reach the client. A body without framing still resets the connection: it must not look complete.

The test failed before with ConnectionResetError on the whole answer.

--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -173,6 +173,6 @@
         looks complete unless the connection is reset.
         """
         if framed:
-            self._transport.close()
+            self.end()
         else:
             self._transport.abort()
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -184,7 +184,7 @@
         self._input_ended = True
 
     def cancel(self) -> None:
-        """Cancel all requests; the client has disconnected."""
+        """Cancel all requests; no response can reach the client."""
         self._output = None
         self._input_ended = True
         self._waiting.clear()
@@ -267,7 +267,10 @@
         is_whole = await output.send(request, response, close=close)
         if is_whole:
             self._last_answered = request
-        if is_whole and close:
+        else:
+            # No later response can be told from the rest of this one.
+            self.cancel()
+        if close or not is_whole:
             self._events.end_output()
 
 
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -29,6 +29,7 @@
         self.stack = AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.handled: list[str] = []
+        self.cancelled: list[str] = []
         self.released = asyncio.Event()
         self.stream = BodyStream(StreamSource(_nothing, _nothing, _nothing))
         self.server = HttpServer(
@@ -74,7 +75,11 @@
     async def _handle(self, request: Request) -> Response:
         self.handled.append(_request_target(request))
         if b'held' in request.request_target:
-            await self.released.wait()
+            try:
+                await self.released.wait()
+            except asyncio.CancelledError:
+                self.cancelled.append(_request_target(request))
+                raise
         large = request.request_target == b'/large'
         if request.request_target == b'/failed':
             replacement = Response(502)
@@ -133,6 +138,26 @@
                 self.assertTrue(answer.endswith(_LARGE))
                 self.assertNotIn('/crossing', self.handled)
 
+    async def test_truncated_answer_follows(self) -> None:
+        """Guards a whole answer against the end of a truncated one."""
+        reader, writer = await self.connect(receive_buffer=4096)
+        writer.write(_get('/large', '/failed'))
+        await self.until_handled(2)
+        await asyncio.sleep(0.1)
+        writer.write(_get('/held'))
+        await self.until_handled(3)
+        self.stream.feed(bytes(100))
+        await asyncio.sleep(0.1)
+        self.stream.finish(ExchangeFailure(FailureKind.BROKEN, 'broken'))
+        await asyncio.sleep(0.1)
+        writer.write(_get('/crossing'))
+        await asyncio.sleep(_AFTER_CLOSE_SECONDS)
+        self.assertEqual(self.cancelled, ['/held'])
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read(-1)
+        self.assertIn(_LARGE, answer)
+        self.assertNotIn('/crossing', self.handled)
+
     async def test_unacknowledged_answer_is_busy(self) -> None:
         """Guards against a process that ends before its answers have left."""
         reader, writer = await self.connect(receive_buffer=4096)
