logs explain shows the cut connection of a request

'client connection cut' names several requests, so the timeline of one of them left it out, and showed those of other requests as context. The test failed before: the line was missing.

--- a/libraries/ctl/plantainstand_ctl/_log_commands.py
+++ b/libraries/ctl/plantainstand_ctl/_log_commands.py
@@ -18,7 +18,12 @@
 """
 
 _REQUEST_EVENTS = frozenset(
-    ('attempt failed', 'request', 'request without a route'),
+    (
+        'attempt failed',
+        'client connection cut',
+        'request',
+        'request without a route',
+    ),
 )
 _HIDDEN_FIELDS = frozenset(('event', 'level', 'timestamp', 'request'))
 
@@ -68,7 +73,7 @@
     request_id: str, lines: Sequence[LogLine]
 ) -> list[LogLine]:
     request_lines = [
-        line for line in lines if line.get('request') == request_id
+        line for line in lines if request_id in _named_requests(line)
     ]
     if not request_lines:
         return []
@@ -82,6 +87,12 @@
     return sorted((*context, *request_lines), key=_time_of)
 
 
+def _named_requests(line: LogLine) -> Sequence[object]:
+    """Return the ids of the requests that a line is about."""
+    unanswered = line.get('unanswered', ())
+    return (line.get('request'), line.get('last_answered'), *unanswered)
+
+
 def _time_of(line: LogLine) -> datetime:
     return datetime.fromisoformat(line['timestamp'])
 
--- a/tests/ctl/test_log_commands.py
+++ b/tests/ctl/test_log_commands.py
@@ -14,6 +14,7 @@
 {"request":"other","event":"request","status":200,"timestamp":"2026-03-12T22:32:57.000000Z"}
 {"request":"f591098222378a4b","target":"i-cda34e5d11","failure":"timed out","detail":"no answer","event":"attempt failed","level":"info","timestamp":"2026-03-12T22:32:58.626658Z"}
 {"request":"f591098222378a4b","target":"i-cda34e5d11","sends":1,"maybe_ran":true,"status":504,"outcome":"outcome unknown","ms":400,"event":"request","level":"info","timestamp":"2026-03-12T22:32:58.626814Z"}
+{"cause":"process ends","unanswered":["f591098222378a4b"],"last_answered":"other","unsent_bytes":9,"event":"client connection cut","timestamp":"2026-03-12T22:32:59.000000Z"}
 {"request":"cut","""  # noqa: E501
 
 
@@ -32,9 +33,15 @@
         events = [line.split(': ')[0].split(' ', 1)[1] for line in report.lines]
         self.assertEqual(
             events,
-            ['control VM lost', 'attempt failed', 'request'],
+            [
+                'control VM lost',
+                'attempt failed',
+                'request',
+                'client connection cut',
+            ],
         )
         self.assertIn('failure=timed out', report.lines[1])
+        self.assertIn('cause=process ends', report.lines[3])
 
     def test_problems(self) -> None:
         """The failures of an unknown id and of a missing file differ."""
