--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -66,6 +66,10 @@
         """Close the connection at once."""
 
 
+def _no_id(_request: Request) -> str:
+    return ''
+
+
 @dataclass
 class ServerState:
     """State shared by all connections of a server."""
@@ -79,10 +83,16 @@
     budget: PieceBudget
     """Limits the small pieces of all clients."""
 
+    log_id: Callable[[Request], str] = _no_id
+    """Returns the id of a request for log lines, empty if it has none."""
+
     limits: ClientLimits = field(default_factory=ClientLimits)
     closing: bool = False
     """Whether connections close after the requests already read."""
 
+    listening: bool = True
+    """Whether connections stay open while they are idle."""
+
     buffered_body_bytes: int = 0
     connections: set[OpenConnection] = field(default_factory=set)
 
@@ -94,6 +104,10 @@
     stop_reading: Callable[[], None]
     """Called when no more requests are to be read."""
 
+    finish_reading: Callable[[], None]
+    """Called when no more requests are to be received; those that have been
+    received whole are still answered."""
+
     end_output: Callable[[], None]
     """Called when the last response has been sent."""
 
@@ -111,6 +125,8 @@
         self._output: ClientOutput | None = None
         self._waiting: deque[tuple[Request, Response | None]] = deque()
         self._tasks: deque[asyncio.Task[None]] = deque()
+        self._started: deque[Request] = deque()
+        self._last_answered: Request | None = None
         self._last_started: tuple[Request, Response | None] | None = None
         self._input_ended = False
         self._body_bytes = 0
@@ -135,6 +151,17 @@
         """Total size of the bodies of requests without a response."""
         return self._body_bytes
 
+    @property
+    def unanswered(self) -> tuple[Request, ...]:
+        """Requests whose responses have not been written whole."""
+        waiting = (request for request, _ready in self._waiting)
+        return (*self._started, *waiting)
+
+    @property
+    def last_answered(self) -> Request | None:
+        """Request whose response was the last to be written whole."""
+        return self._last_answered
+
     def open(self, output: ClientOutput) -> None:
         """Send responses to ``output``."""
         self._output = output
@@ -157,7 +184,7 @@
         self._input_ended = True
 
     def cancel(self) -> None:
-        """Cancel all requests; the client has disconnected."""
+        """Cancel all requests; no response can reach the client."""
         self._output = None
         self._input_ended = True
         self._waiting.clear()
@@ -171,6 +198,7 @@
             work = self._run(request, ready, predecessor)
             task = asyncio.get_running_loop().create_task(work)
             self._tasks.append(task)
+            self._started.append(request)
             self._last_started = (request, ready)
 
     def _may_start(self, request: Request, ready: Response | None) -> bool:
@@ -200,6 +228,7 @@
                 if response.rest is not None:
                     response.rest.close()
         self._tasks.popleft()
+        self._started.popleft()
         self._body_bytes -= len(request.body)
         if not self._tasks:
             self._last_started = None
@@ -227,11 +256,34 @@
         output = self._output
         if output is None or not output.is_open:
             return
-        if response.close or self._server.closing:
+        response = _sendable(request, response, self._server)
+        if response.close:
             self._events.stop_reading()
+        elif self._server.closing:
+            self._events.finish_reading()
         # All requests that were read have responses before the close.
         is_last = not self._waiting and len(self._tasks) == 1
         close = self._input_ended and is_last
         is_whole = await output.send(request, response, close=close)
-        if is_whole and close:
+        if is_whole:
+            self._last_answered = request
+        else:
+            # No later response can be told from the rest of this one.
+            self.cancel()
+        if close or not is_whole:
             self._events.end_output()
+
+
+def _sendable(
+    request: Request, response: Response, server: ServerState
+) -> Response:
+    """Return the response, or its fallback if its body has failed."""
+    rest = response.rest
+    if rest is None or not rest.has_failed or response.fallback is None:
+        return response
+    _log.info(
+        'body failed before its turn on the connection',
+        request=server.log_id(request),
+        status=int(response.fallback.status),
+    )
+    return response.fallback
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -29,18 +29,22 @@
         clock: Clock,
         may_overlap: Callable[[Request], bool] | None = None,
         limits: ClientLimits | None = None,
+        log_id: Callable[[Request], str] | None = None,
     ):
         """Serve with default limits, if none are given or set later.
 
         ``may_overlap`` tells which pipelined requests may be handled before the
-        preceding ones have their responses; without it, none.
+        preceding ones have their responses; without it, none. ``log_id``
+        returns the id of a request for log lines.
         """
         self._state = ServerState(
             handler,
             may_overlap or _never,
             PieceBudget(clock),
-            limits or ClientLimits(),
+            limits=limits or ClientLimits(),
         )
+        if log_id is not None:
+            self._state.log_id = log_id
         self._clock = clock
         self._listener: asyncio.Server | None = None
 
@@ -89,10 +93,11 @@
         self._state.closing = True
 
     def stop_accepting(self) -> None:
-        """Stop listening and close the idle connections.
+        """Stop listening; close connections that are idle, now or later.
 
         Clients that connect later are refused before they have sent anything.
         """
+        self._state.listening = False
         if self._listener is not None:
             self._listener.close()
         for connection in tuple(self._state.connections):
