--- a/tests/soak/planned_stop.py
+++ b/tests/soak/planned_stop.py
@@ -23,6 +23,7 @@
 
 from review import harness
 from tests.soak._clients import KINDS, Client, Sent, content, query_of
+from tests.soak._programs import installed_packages
 
 GRACE_SECONDS = 6.0
 """Time from SIGTERM to SIGKILL."""
@@ -444,5 +445,5 @@
 
 
 if __name__ == '__main__':
-    with suppress(KeyboardInterrupt):
+    with suppress(KeyboardInterrupt), installed_packages():
         sys.exit(main(sys.argv[1:]))
--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from tests.soak._programs import installed_packages
 from tests.soak.planned_stop import BEHIND_LATE_BODY, Findings, play, report
 
 _SEED = 1
@@ -20,6 +21,7 @@
     @classmethod
     def setUpClass(cls) -> None:
         """Play one run for all tests."""
+        cls.enterClassContext(installed_packages())
         cls.found = report(asyncio.run(play(_SEED, _ROUNDS)))
 
     def test_answers_around_stops(self) -> None:
