--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -149,7 +149,8 @@
         if self._transport is None:
             return
         queues = read_queues(self._transport)
-        if self.busy or queues.unsent_bytes or queues.unread_bytes:
+        is_idle = _is_idle(self._pipeline, self._reader, self._input)
+        if not is_idle or queues.unsent_bytes or queues.unread_bytes:
             _log_cut('process ends', queues, self._server, self._pipeline)
         self._is_aborted = True
         self._transport.abort()
