The exit does not reset connections with an answer on its way

The rest of the answer was in the kernel's send buffer, which outlives the process, but the client had sent one more request. A close with unread input resets the connection, and the kernel drops the buffer.

At the exit, the unread input of a connection whose output has ended and is not acknowledged is discarded before the close. Without such output it stays unread, so that clients see that their request was not taken. A request that arrives after the exit still resets the connection. The test failed before with ConnectionResetError.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -18,7 +18,11 @@
     ServerState,
 )
 from plantainstand_http._reader import RequestReader
-from plantainstand_http._socket_queues import SocketQueues, read_queues
+from plantainstand_http._socket_queues import (
+    SocketQueues,
+    discard_unread,
+    read_queues,
+)
 
 _log = structlog.get_logger()
 
@@ -152,6 +156,10 @@
         if self.busy or queues.unsent_bytes or queues.unread_bytes:
             _log_cut('process ends', queues, self._server, self._pipeline)
         self._is_aborted = True
+        if queues.unsent_bytes and self._output and self._output.is_ended:
+            # A close with unread input would reset the connection, and the
+            # kernel would drop the rest of the answer.
+            discard_unread(self._transport)
         self._transport.abort()
 
     def _parse(self, part: bytes | memoryview) -> int:
--- a/libraries/http/plantainstand_http/_socket_queues.py
+++ b/libraries/http/plantainstand_http/_socket_queues.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import fcntl
+import os
 import socket
 import struct
 import termios
+from contextlib import suppress
 from dataclasses import dataclass
 
 _TCP_CLOSE = 7
 """State of a connection that has ended on both sides."""
 
+_DISCARD_BYTES = 64 * 1024
+
 _INT = struct.Struct('i')
 
 
@@ -41,6 +45,17 @@
     )
 
 
+def discard_unread(transport: asyncio.Transport) -> None:
+    """Discard what the peer has sent and this process has not read."""
+    peer = transport.get_extra_info('socket')
+    if peer is None or peer.fileno() < 0:
+        return
+    # Ends with BlockingIOError, a kind of OSError, once the queue is empty.
+    with suppress(OSError):
+        while os.read(peer.fileno(), _DISCARD_BYTES):
+            """Read on until the queue is empty."""
+
+
 def _queue_bytes(descriptor: int, queue: int) -> int:
     buffer = fcntl.ioctl(descriptor, queue, _INT.pack(0))
     size: int = _INT.unpack(buffer)[0]
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -38,7 +38,10 @@
             lambda request: request.method == b'GET',
             log_id=_request_target,
         )
-        await self.server.start('127.0.0.1', 0, self.stack)
+        self.server_stack = await self.stack.enter_async_context(
+            AsyncExitStack()
+        )
+        await self.server.start('127.0.0.1', 0, self.server_stack)
         listener = self.server._listener
         assert listener is not None
         self.port = listener.sockets[0].getsockname()[1]
@@ -138,6 +141,20 @@
                 self.assertTrue(answer.endswith(_LARGE))
                 self.assertNotIn('/crossing', self.handled)
 
+    async def test_exit_with_unread_input(self) -> None:
+        """Guards an answer in the kernel's buffer against the exit's reset."""
+        reader, writer = await self.connect(receive_buffer=4096)
+        writer.write(_get('/large'))
+        self.server.announce_close()
+        await self.until_answered('/large')
+        writer.write(_get('/crossing'))
+        await asyncio.sleep(0.1)
+        await self.server_stack.aclose()
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read(-1)
+        self.assertTrue(answer.endswith(_LARGE))
+        self.assertNotIn('/crossing', self.handled)
+
     async def test_truncated_answer_follows(self) -> None:
         """Guards a whole answer against the end of a truncated one."""
         reader, writer = await self.connect(receive_buffer=4096)
