--- a/tests/consensus/simulated_cluster.py
+++ b/tests/consensus/simulated_cluster.py
@@ -14,6 +14,7 @@
     Message,
     Node,
     ReplicaCore,
+    Snapshot,
     decode_message,
     encode_message,
 )
@@ -37,6 +38,8 @@
     core: ReplicaCore | None = None
     unsynced: list[Effects] = field(default_factory=list)
     applied: list[bytes] = field(default_factory=list)
+    checked_count: int = 0
+    """Applied commands that were compared with the committed ones."""
 
 
 class SimulatedCluster:
@@ -53,6 +56,8 @@
         self.replicas: dict[VmId, SimulatedReplica] = {}
         self.network: list[tuple[VmId, VmId, Message]] = []
         self.committed: dict[int, Entry] = {}
+        self.commands: list[bytes] = []
+        self.command_counts = {0: 0}
         self.leaders: dict[int, Node] = {}
         self.lost_disks: dict[Node, SimulatedDisk] = {}
         self.limits = LogLimits()
@@ -66,12 +71,12 @@
         formed = Configuration(tuple(members), voters, formed=True)
         for vm in members:
             self.replicas[vm].disk.entries.append(Entry(1, 0, formed))
-        self.committed[1] = Entry(1, 0, formed)
+        self._record_committed(Entry(1, 0, formed))
 
     def new_disk(self, vm: VmId) -> None:
         """Replace the disk of a stopped VM by an empty one with a new id."""
         self._starts += 1
-        node = Node(vm, DiskId(f'{vm}{self._starts}'))
+        node = Node(vm, DiskId(f'{vm}-{self._starts}'))
         self.replicas[vm] = SimulatedReplica(SimulatedDisk(node))
 
     def start(self, vm: VmId, founding_members: Sequence[VmId] = ()) -> None:
@@ -80,9 +85,7 @@
         replica = self.replicas[vm]
         log = replica.disk.load_log()
         replica.unsynced = []
-        replica.applied = []
-        if log.snapshot is not None:
-            replica.applied = log.snapshot.payload.split(_SEPARATOR)
+        self._restore(replica, log.snapshot)
         replica.core = ReplicaCore(
             replica.disk.node,
             log,
@@ -151,6 +154,12 @@
         source, destination, message = self.network[position]
         if not keep:
             self.network.pop(position)
+        self.receive(source, destination, message)
+
+    def receive(
+        self, source: VmId, destination: VmId, message: Message
+    ) -> None:
+        """Pass a message to a process, if it runs."""
         replica = self.replicas.get(destination)
         if replica is not None and replica.core is not None:
             replica.core.receive(source, message)
@@ -228,7 +237,12 @@
         for destination, message in outgoing:
             check_durable_claims(self.replicas[source].disk, message)
             decoded = decode_message(encode_message(message)).unwrap()
-            self.network.append((source, destination, decoded))
+            self._transmit(source, destination, decoded)
+
+    def _transmit(
+        self, source: VmId, destination: VmId, message: Message
+    ) -> None:
+        self.network.append((source, destination, message))
 
     def _check_single_leader(
         self,
@@ -246,7 +260,7 @@
     def _apply(self, replica: SimulatedReplica, effects: Effects) -> None:
         core = replica.core
         if effects.restore is not None:
-            replica.applied = effects.restore.payload.split(_SEPARATOR)
+            self._restore(replica, effects.restore)
         for entry in effects.committed:
             self._check_committed(replica, entry)
             if isinstance(entry.body, Command):
@@ -261,7 +275,7 @@
     ) -> None:
         known = self.committed.get(entry.index)
         if known is None:
-            self.committed[entry.index] = entry
+            self._record_committed(entry)
             self._check_durable(replica, entry)
         elif known != entry:
             raise AssertionError(f'{known} was replaced by {entry}')
@@ -287,14 +301,29 @@
         if len(holders) < voter_set.quorum:
             raise AssertionError(f'{entry} is committed on {holders} only')
 
+    def _record_committed(self, entry: Entry) -> None:
+        if entry.index - 1 not in self.command_counts:
+            raise AssertionError(f'{entry} is committed after a gap')
+        self.committed[entry.index] = entry
+        if isinstance(entry.body, Command):
+            self.commands.append(entry.body.payload)
+        self.command_counts[entry.index] = len(self.commands)
+
+    def _restore(
+        self, replica: SimulatedReplica, snapshot: Snapshot | None
+    ) -> None:
+        payload = b'' if snapshot is None else snapshot.payload
+        replica.applied = payload.split()
+        replica.checked_count = 0
+
     def _check_applied(self, replica: SimulatedReplica, through: int) -> None:
-        expected = [
-            entry.body.payload
-            for index, entry in sorted(self.committed.items())
-            if index <= through and isinstance(entry.body, Command)
-        ]
-        if [item for item in replica.applied if item] != expected:
+        # What was compared before is not compared again: long days apply
+        # thousands of commands.
+        start = replica.checked_count
+        expected = self.commands[start : self.command_counts[through]]
+        if replica.applied[start:] != expected:
             raise AssertionError(
                 f'{replica.disk.node} applied {replica.applied}, '
-                f'expected {expected}',
+                f'expected {expected} after {start}',
             )
+        replica.checked_count = len(replica.applied)
--- a/tests/consensus/simulated_disk.py
+++ b/tests/consensus/simulated_disk.py
@@ -47,6 +47,13 @@
                 self.snapshot = snapshot
                 self._keep(lambda index: index > through and not replaces_log)
 
+    @property
+    def last_index(self) -> int:
+        """Newest durable index."""
+        snapshot_index = self.snapshot.index if self.snapshot else 0
+        entry_index = self.entries[-1].index if self.entries else 0
+        return max(snapshot_index, entry_index)
+
     def has_entry(self, index: int, term: int) -> bool:
         """Return whether an entry is durable on this disk."""
         if self.snapshot is not None and self.snapshot.index >= index:
@@ -79,8 +86,7 @@
         case JoinReply() | JoinRequest():
             return
         case AppendReply(accepted=True):
-            last = disk.load_log().last_index
-            _require(message.match_index <= last, disk, message)
+            _require(message.match_index <= disk.last_index, disk, message)
         case VoteReply(granted=True, preliminary=False):
             _require(disk.hard_state.vote is not None, disk, message)
     preliminary = isinstance(message, VoteRequest) and message.preliminary
