--- a/libraries/http/plantainstand_http/_socket_queues.py
+++ b/libraries/http/plantainstand_http/_socket_queues.py
@@ -14,6 +14,9 @@
 
 _DISCARD_BYTES = 64 * 1024
 
+_MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+"""Bytes after which a peer that goes on sending is not read any more."""
+
 _INT = struct.Struct('i')
 
 
@@ -52,8 +55,10 @@
         return
     # Ends with BlockingIOError, a kind of OSError, once the queue is empty.
     with suppress(OSError):
-        while os.read(peer.fileno(), _DISCARD_BYTES):
-            """Read on until the queue is empty."""
+        bytes_left = _MAX_DISCARDED_BYTES
+        while bytes_left > 0:
+            part = os.read(peer.fileno(), _DISCARD_BYTES)
+            bytes_left -= len(part) or bytes_left
 
 
 def _queue_bytes(descriptor: int, queue: int) -> int:
