HTTP server: a client's reset does not end a planned stop

Callers saw requests around SIGTERM that ran and got no answer. When a client had reset its connection and the event loop had not read that yet, the end of output raised OSError 107 and nothing caught it: the loop over the connections ended, and the process reset every busy one. In the checks for timeouts the same error ended all later checks.

--- a/libraries/http/plantainstand_http/_output.py
+++ b/libraries/http/plantainstand_http/_output.py
@@ -109,8 +109,13 @@
             return
         now = self._clock.monotonic()
         self._close_at = now + CLOSE_DELAY
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError as problem:
+            # The client has reset the connection, which the loop reads later.
+            _log.info('client connection reset', problem=str(problem))
+            self._transport.abort()
+            return
         # From now on, bytes that only the kernel holds count as unsent.
         self._progress_bytes = self._written_bytes - self._unsent_bytes()
         self._progress_at = now
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 import unittest
 from contextlib import AsyncExitStack
 from unittest.mock import Mock, patch
@@ -290,3 +291,31 @@
 def _as_list(field: object) -> list[object]:
     assert isinstance(field, list)
     return field
+
+
+class IdleCloseTests(_PlannedCloseCase):
+    """What the kernel holds at the stop is not known to the loop yet."""
+
+    async def test_reset_connection(self) -> None:
+        """Guards against a reset that ends the stop for all connections."""
+        clients = [await self._connected() for _client in 'abcd']
+        linger = struct.pack('ii', 1, 0)
+        clients[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        clients[0].close()
+        self.server.stop_accepting()
+        loop = asyncio.get_running_loop()
+        for client in clients[1:]:
+            async with asyncio.timeout(_DEADLINE_SECONDS):
+                self.assertEqual(await loop.sock_recv(client, 1), b'')
+
+    async def _connected(self) -> socket.socket:
+        client = socket.socket()
+        self.stack.callback(client.close)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, ('127.0.0.1', self.port))
+        await loop.sock_sendall(client, _get('/first'))
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while b'small' not in await loop.sock_recv(client, 4096):
+                await asyncio.sleep(0)
+        return client
