HTTP server: a request that the kernel holds at a stop is answered

A request that had arrived on an idle connection, but had not been read when the server closed its idle connections, got no answer. Such a connection now stays open for the request, whose answer announces the close. What is still on its way when the connection closes can't be answered; clients may repeat it.

Evidence: found in review; test_request_that_is_not_read_yet failed with an empty answer before.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -74,10 +74,9 @@
     @property
     def busy(self) -> bool:
         """Whether a request is unfinished or a response is not fully sent."""
-        is_flushing = self._output is not None and self._output.is_flushing
-        return is_flushing or not _is_idle(
-            self._pipeline, self._reader, self._input
-        )
+        if not _is_idle(self._pipeline, self._reader, self._input):
+            return True
+        return self._output is not None and self._output.is_flushing
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
@@ -145,8 +144,15 @@
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or answered."""
-        if _is_idle(self._pipeline, self._reader, self._input):
-            self._end_output()
+        if not _is_idle(self._pipeline, self._reader, self._input):
+            return
+        transport = self._transport
+        if transport is not None and not self._pipeline.input_ended:
+            # What the kernel holds is read in the next turn, and the
+            # connection closes with the answer to it.
+            if read_queues(transport).unread_bytes:
+                return
+        self._end_output()
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/tests/http/test_planned_close.py
+++ b/tests/http/test_planned_close.py
@@ -308,6 +308,17 @@
             async with asyncio.timeout(_DEADLINE_SECONDS):
                 self.assertEqual(await loop.sock_recv(client, 1), b'')
 
+    async def test_request_that_is_not_read_yet(self) -> None:
+        """Guards against a request that gets no answer at the stop."""
+        client = await self._connected()
+        self.server.announce_close()
+        client.send(_get('/late'))
+        self.server.stop_accepting()
+        reader, _writer = await asyncio.open_connection(sock=client)
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            answer = await reader.read()
+        self.assertTrue(answer.endswith(b'small'), answer)
+
     async def _connected(self) -> socket.socket:
         client = socket.socket()
         self.stack.callback(client.close)
