Client accounts: keys, home regions and uploads; items reach entry VMs without their documents

Cause: tenants, public routes and uploads were unknown to the desired state; keys were forwarded to targets. Change: an item kind for accounts with digests of their keys, a check of shared keys that costs in proportion to a change, 401 for unknown keys, X-Tenant from the system alone, common home regions. Documents stay on control VMs. Measured: unit tests only so far.

--- a/bench/plantainstand_bench/_recovery_benchmark.py
+++ b/bench/plantainstand_bench/_recovery_benchmark.py
@@ -286,7 +286,7 @@
 
 _DIALECT = HeaderCodec(
     read_request_metadata=lambda _request: None,
-    target_headers=lambda _target, _left: (),
+    target_headers=lambda _target, _left, _account: (),
     read_response_metadata=lambda _answer: ResponseMetadata(
         not_run=False,
         misdirected=False,
--- a/libraries/control/plantainstand_control/_publishing.py
+++ b/libraries/control/plantainstand_control/_publishing.py
@@ -92,7 +92,7 @@
         items = []
         size = 0
         while self._waiting and size < UPDATE_BYTES:
-            items.append(self._waiting.popleft())
+            items.append(self._waiting.popleft().without_document())
             size += items[-1].size
         if not self._waiting:
             self._sent_index = self._target_index
--- a/libraries/desired/plantainstand_desired/__init__.py
+++ b/libraries/desired/plantainstand_desired/__init__.py
@@ -1,17 +1,22 @@
 """The desired state: versioned items and evacuations."""
 
+from plantainstand_desired._account_view import AccountMatch, AccountView
 from plantainstand_desired._items import (
+    AccountName,
+    ClientAccount,
     EvacuationItem,
     IngressLimits,
     Item,
     ItemBody,
     ItemKey,
     ItemKind,
+    KeyDigest,
     Route,
     RouteName,
     ServicePolicy,
     Version,
     WeightedService,
+    digest_key,
 )
 from plantainstand_desired._rules import item_problem
 from plantainstand_desired._state import (
@@ -26,8 +31,12 @@
 from plantainstand_desired._view import DesiredView, RouteMatch
 
 __all__ = (
+    'AccountMatch',
+    'AccountName',
+    'AccountView',
     'ChangeItems',
     'ChangeOutcome',
+    'ClientAccount',
     'DesiredState',
     'DesiredView',
     'EvacuationItem',
@@ -36,6 +45,7 @@
     'ItemBody',
     'ItemKey',
     'ItemKind',
+    'KeyDigest',
     'Route',
     'RouteMatch',
     'RouteName',
@@ -45,6 +55,7 @@
     'Version',
     'WeightedService',
     'decode_outcome',
+    'digest_key',
     'encode_command',
     'item_problem',
 )
--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -1,12 +1,15 @@
 """Items of the desired state."""
 
 from enum import Enum
+from hashlib import blake2b
 from typing import NewType
 
 import msgspec
 from plantainstand_core import AvailabilityZoneId, RegionId, ServiceId
 
 RouteName = NewType('RouteName', str)
+AccountName = NewType('AccountName', str)
+KeyDigest = NewType('KeyDigest', bytes)
 Version = NewType('Version', int)
 
 
@@ -21,6 +24,7 @@
     ROUTE = 'route'
     SERVICE = 'service'
     LIMITS = 'limits'
+    ACCOUNT = 'account'
 
 
 ItemKey = tuple[ItemKind, str]
@@ -70,6 +74,12 @@
     large_answers: bool = False
     """Whether responses are large enough to saturate links between regions."""
 
+    large_bodies: bool = False
+    """Whether request bodies are large enough to saturate a VM's link."""
+
+    public: bool = False
+    """Whether requests need no key of an account."""
+
 
 class ServicePolicy(msgspec.Struct, frozen=True, tag='service'):
     """Health check and load limits of a service's targets."""
@@ -94,7 +104,33 @@
     idle_timeout_seconds: float
 
 
-ItemBody = Route | ServicePolicy | IngressLimits
+class ClientAccount(msgspec.Struct, frozen=True, tag='account'):
+    """Client account: its keys, limits and the regions that may serve it."""
+
+    key_digests: tuple[KeyDigest, ...]
+    """Digests of the keys; the keys themselves stay in the document."""
+
+    rank: int | None = None
+    """Priority of its requests; None for that of the route."""
+
+    requests_per_second: float = 0
+    """Rate over all entry VMs together; without rate and burst, no limit."""
+
+    burst: float = 0
+    """Requests beyond the rate in one window."""
+
+    home_regions: tuple[RegionId, ...] = ()
+    """Regions that may serve the requests; if empty, all may."""
+
+
+ItemBody = Route | ServicePolicy | IngressLimits | ClientAccount
+
+_KEY_DIGEST_BYTES = 16
+
+
+def digest_key(key: bytes) -> KeyDigest:
+    """Return the digest by which entry VMs know a key, 16 bytes of BLAKE2b."""
+    return KeyDigest(blake2b(key, digest_size=_KEY_DIGEST_BYTES).digest())
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -120,6 +156,14 @@
         """Kind and name, which identify the item."""
         return (self.kind, self.name)
 
+    def without_document(self) -> 'Item':
+        """Return the item as it is sent to entry VMs.
+
+        The operator's text is only read back from control VMs. It may hold
+        keys, and takes half of the bytes of a change on the links.
+        """
+        return msgspec.structs.replace(self, document=b'')
+
 
 class EvacuationItem(msgspec.Struct, frozen=True):
     """Whether an availability zone is evacuated, so its targets get nothing."""
--- a/libraries/desired/plantainstand_desired/_rules.py
+++ b/libraries/desired/plantainstand_desired/_rules.py
@@ -1,6 +1,11 @@
 """Validity checks of single items."""
 
-from plantainstand_desired._items import Item, Route, ServicePolicy
+from plantainstand_desired._items import (
+    ClientAccount,
+    Item,
+    Route,
+    ServicePolicy,
+)
 
 MAX_OBJECTIVE_EXCESS_SECONDS = 60
 """An objective this far above the timeout indicates a wrong unit."""
@@ -16,6 +21,10 @@
         return _route_problem(body)
     if isinstance(body, ServicePolicy) and body.cold_seconds < 0:
         return 'the cold start of a service is negative'
+    if isinstance(body, ClientAccount) and (
+        body.requests_per_second < 0 or body.burst < 0
+    ):
+        return 'the rate or the burst of an account is negative'
     return None
 
 
--- a/libraries/desired/plantainstand_desired/_state.py
+++ b/libraries/desired/plantainstand_desired/_state.py
@@ -6,11 +6,13 @@
 import msgspec
 from plantainstand_core import AvailabilityZoneId, LogIndex
 
+from plantainstand_desired._account_index import AccountIndex
 from plantainstand_desired._items import (
     MAX_TOMBSTONES,
     EvacuationItem,
     Item,
     ItemKey,
+    ItemKind,
 )
 from plantainstand_desired._route_index import RouteIndex
 from plantainstand_desired._rules import item_problem
@@ -60,6 +62,7 @@
     items: tuple[Item, ...]
     evacuations: tuple[EvacuationItem, ...]
     forgotten_index: int = 0
+    accounts_index: int = 0
 
 
 _COMMAND_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(
@@ -93,6 +96,8 @@
         self._forgotten_index = LogIndex(0)
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
         self._routes = RouteIndex()
+        self._accounts = AccountIndex()
+        self._accounts_index = LogIndex(0)
         self._size = 0
         self._index = LogIndex(0)
 
@@ -101,6 +106,11 @@
         """Log index of the newest change."""
         return self._index
 
+    @property
+    def accounts_index(self) -> LogIndex:
+        """Log index of the newest change of a client account."""
+        return self._accounts_index
+
     @property
     def size(self) -> int:
         """Approximate length in bytes when encoded, with tombstones."""
@@ -163,6 +173,7 @@
                 tuple(self._items.values()),
                 tuple(self.evacuations),
                 self._forgotten_index,
+                self._accounts_index,
             ),
         )
 
@@ -171,6 +182,8 @@
         stored = _SNAPSHOT_DECODER.decode(snapshot)
         self._items = {each.key: each for each in stored.items}
         self._routes = RouteIndex(stored.items)
+        self._accounts = AccountIndex(stored.items)
+        self._accounts_index = LogIndex(stored.accounts_index)
         self._evacuations = {each.zone: each for each in stored.evacuations}
         self._forgotten_index = LogIndex(stored.forgotten_index)
         removed = [each for each in stored.items if each.body is None]
@@ -221,12 +234,16 @@
     def _replace_items(self, newer: dict[ItemKey, Item]) -> ChangeOutcome:
         problem = next(filter(None, map(item_problem, newer.values())), None)
         problem = problem or self._routes.find_problem(self._items, newer)
+        problem = problem or self._accounts.find_problem(newer)
         if problem is not None:
             return ChangeOutcome(Verdict.INVALID, problem)
         self._routes.apply_changes(self._items, newer)
+        self._accounts.apply_changes(self._items, newer)
         self._size += _added_size(self._items, newer)
         for item in newer.values():
             self._index = LogIndex(item.index)
+            if item.kind is ItemKind.ACCOUNT:
+                self._accounts_index = self._index
         self._items.update(newer)
         self._update_tombstones(newer)
         return ChangeOutcome(Verdict.ACCEPTED, changed=len(newer))
--- a/libraries/desired/plantainstand_desired/_view.py
+++ b/libraries/desired/plantainstand_desired/_view.py
@@ -7,6 +7,7 @@
 import msgspec
 from plantainstand_core import AvailabilityZoneId, LogIndex, RegionId, ServiceId
 
+from plantainstand_desired._account_view import AccountView
 from plantainstand_desired._items import (
     MAX_TOMBSTONES,
     EvacuationItem,
@@ -48,6 +49,9 @@
         self._items: dict[ItemKey, Item] = {}
         self._evacuations: dict[AvailabilityZoneId, EvacuationItem] = {}
         self._routes_by_host: dict[str, tuple[RouteMatch, ...]] | None = {}
+        self.accounts = AccountView()
+        """Client accounts and their keys."""
+
         self._index = LogIndex(0)
         self._forgotten_index = LogIndex(-1)
 
@@ -114,6 +118,7 @@
         changed_items = [each for each in items if self._is_newer_item(each)]
         for item in changed_items:
             self._items[item.key] = item
+        self.accounts.update(changed_items)
         self._index = max(self._index, through)
         if any(each.body is None for each in changed_items):
             self._forget_tombstones()
@@ -142,6 +147,7 @@
             and each.key not in listed
         ]
         self._items.update((each.key, each) for each in removed)
+        self.accounts.update(removed)
         self._routes_by_host = None
         return bool(removed)
 
@@ -176,6 +182,7 @@
         removed.sort(key=lambda each: each.index)
         for forgotten in removed[: len(removed) - MAX_TOMBSTONES]:
             self._items.pop(forgotten.key)
+            self.accounts.forget(forgotten)
             self._forgotten_index = LogIndex(forgotten.index)
 
     def _is_later_evacuation(self, evacuation: EvacuationItem) -> bool:
--- a/libraries/edge/plantainstand_edge/__init__.py
+++ b/libraries/edge/plantainstand_edge/__init__.py
@@ -1,6 +1,6 @@
 """Entry role: receives requests of clients and forwards them to targets."""
 
-from plantainstand_edge._dialect import (
+from plantainstand_edge._header_codec import (
     HeaderCodec,
     HealthMetadata,
     RequestMetadata,
--- a/libraries/edge/plantainstand_edge/_journey.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from plantainstand_core import ServiceId, TargetId
-from plantainstand_desired import RouteMatch
+from plantainstand_core import RegionId, ServiceId, TargetId
+from plantainstand_desired import AccountMatch, AccountName, RouteMatch
 from plantainstand_http import FailureKind, Request, TargetResponse
 
-from plantainstand_edge._dialect import RequestMetadata
+from plantainstand_edge._header_codec import RequestMetadata
 
 
 @dataclass(slots=True)
@@ -24,6 +24,13 @@
     objective: timedelta
     """Monotonic time at which the route's latency objective ends."""
 
+    account: AccountMatch | None = None
+    """Account that holds the request's key; None if no key is required."""
+
+    permit_at: timedelta | None = None
+    """Monotonic time at which a run was counted against the account's limit
+    for the attempt that is about to be made; None if none was."""
+
     tried_targets: set[TargetId] = field(default_factory=set)
     """Targets to which the request has been sent."""
 
@@ -75,6 +82,22 @@
             return stated
         return self.metadata.request_id
 
+    @property
+    def account_name(self) -> AccountName | None:
+        """Name of the account, if any."""
+        return None if self.account is None else self.account.name
+
+    @property
+    def home_regions(self) -> tuple[RegionId, ...]:
+        """Regions that may serve the request; empty for all."""
+        return common_home_regions(self.match, self.account)
+
+    @property
+    def rank(self) -> int:
+        """Priority; 0 is the highest. The account's goes before the route's."""
+        stated = None if self.account is None else self.account.account.rank
+        return self.match.route.rank if stated is None else stated
+
     @property
     def may_run_again(self) -> bool:
         """Whether another attempt keeps to at-most-once execution."""
@@ -89,3 +112,18 @@
     def may_have_run(self) -> bool:
         """Whether a target may have run the request or may be running it."""
         return self.maybe_ran or self.is_sending
+
+
+def common_home_regions(
+    match: RouteMatch, account: AccountMatch | None
+) -> tuple[RegionId, ...]:
+    """Return the home regions that a route and an account have in common.
+
+    Empty if neither has any, and also if those of both have none in common;
+    ``plantainstand_edge._access`` refuses such a request.
+    """
+    of_route = match.route.home_regions
+    of_account = () if account is None else account.account.home_regions
+    if not (of_route and of_account):
+        return of_route or of_account
+    return tuple(region for region in of_route if region in of_account)
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -1,5 +1,7 @@
 """Sends a request to one target and records the outcome."""
 
+from collections.abc import Collection
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
@@ -25,8 +27,9 @@
 )
 from result import Err, Ok, Result
 
-from plantainstand_edge._dialect import HeaderCodec, ResponseMetadata
-from plantainstand_edge._journey import ActiveRequest
+from plantainstand_edge._access import AccountChecks
+from plantainstand_edge._active_request import ActiveRequest
+from plantainstand_edge._header_codec import HeaderCodec, ResponseMetadata
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
 from plantainstand_edge._target_limits import TargetLimits, record_pause
@@ -41,6 +44,15 @@
 """Time after a decision until which its request may leave."""
 
 
+@dataclass(frozen=True, slots=True)
+class Durations:
+    """How long work has taken; attempts add to each."""
+
+    service_times: ServiceTimes
+    run_times: RunTimes
+    longest_durations: LongestDurations
+
+
 class TargetAttempts:
     """Makes single attempts; the caller decides whether to make another."""
 
@@ -48,20 +60,19 @@
         self,
         pool: TargetConnectionPool,
         header_codec: HeaderCodec,
-        service_times: ServiceTimes,
-        run_times: RunTimes,
-        longest_durations: LongestDurations,
+        durations: Durations,
         target_limits: TargetLimits,
+        accounts: AccountChecks,
         request_log: RequestLog,
         clock: Clock,
     ):
         """Record how long runs and whole exchanges take in the given state."""
         self._pool = pool
         self._header_codec = header_codec
-        self._service_times = service_times
-        self._run_times = run_times
-        self._longest_durations = longest_durations
+        self._durations = durations
         self._target_limits = target_limits
+        self._access = accounts.access
+        self._permits = accounts.permits
         self._request_log = request_log
         self._clock = clock
 
@@ -84,7 +95,10 @@
         active.tried_targets.add(target)
         payload = encode_request(
             active.request,
-            self._header_codec.target_headers(target, time_left),
+            self._header_codec.target_headers(
+                target, time_left, active.account_name
+            ),
+            self._removed_headers(),
         )
         state.record_sent(started)
         state.record_object(active.object_key, responded=False)
@@ -128,6 +142,8 @@
         The decision to send it does not hold for long: the process may have
         stood still meanwhile.
         """
+        if not self._access.still_allows(active):
+            return False
         now = self._clock.monotonic()
         decided_at = active.last_sent_at or now
         if now - decided_at > DECISION_LIFETIME:
@@ -137,9 +153,17 @@
         ):
             return False
         state.sends.postpone(decided_at, now)
+        if active.account is not None and active.permit_at is not None:
+            self._permits.postpone(active.account.name, active.permit_at, now)
+            active.permit_at = now
         active.last_sent_at = now
         return True
 
+    def _removed_headers(self) -> Collection[bytes]:
+        if self._access.requires_keys:
+            return self._header_codec.account_headers
+        return ()
+
     def _may_retry(self, response: TargetResponse) -> bool:
         stated = self._header_codec.read_response_metadata(response)
         failed = response.status >= HTTPStatus.BAD_REQUEST
@@ -157,7 +181,7 @@
             self._record_failure(active, choice, outcome.err_value, started)
             return None
         route = active.match.name
-        self._longest_durations.record(route, now - started, now)
+        self._durations.longest_durations.record(route, now - started, now)
         active.sends += 1
         response = outcome.ok_value
         stated = self._header_codec.read_response_metadata(response)
@@ -173,6 +197,7 @@
         if stated.not_run:
             state.record_rejection(now, stated.load)
             return None
+        active.permit_at = None
         failed = response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         state.record_response(now, stated.load, failed=failed)
         state.record_object(active.object_key, responded=True)
@@ -182,8 +207,8 @@
             return None
         if not failed:
             run = now - started - choice.expected_wait
-            self._service_times.record(active.service, run)
-            self._run_times.record(route, choice.familiarity, run)
+            self._durations.service_times.record(active.service, run)
+            self._durations.run_times.record(route, choice.familiarity, run)
         self._request_log.record_request(active, response.status, 'answered')
         if response.rest is not None:
             response.rest.when_closed(
@@ -214,7 +239,9 @@
     ) -> None:
         now = self._clock.monotonic()
         duration = now - active.request.received_at
-        self._longest_durations.record(active.match.name, duration, now)
+        self._durations.longest_durations.record(
+            active.match.name, duration, now
+        )
         state.record_ended()
         self._request_log.record_body(active, state, end)
 
@@ -234,11 +261,14 @@
         else:
             active.sends += 1
             active.maybe_ran = True
+            active.permit_at = None
             timed_out = failure.kind is FailureKind.TIMED_OUT
             choice.state.record_failure(now, started if timed_out else None)
         if failure.kind is FailureKind.TIMED_OUT:
             duration = now - active.request.received_at
-            self._longest_durations.record(active.match.name, duration, now)
+            self._durations.longest_durations.record(
+                active.match.name, duration, now
+            )
         _log.info(
             'attempt failed',
             request=active.metadata.log_id,
--- a/libraries/edge/plantainstand_edge/_dialect.py
+++ b/libraries/edge/plantainstand_edge/_header_codec.py
@@ -4,10 +4,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from plantainstand_core import TargetId
+from plantainstand_desired import AccountName, KeyDigest
 from plantainstand_http import Headers, Request, TargetResponse
 from plantainstand_placement import LoadReport
 
@@ -31,6 +32,9 @@
     client_timeout: timedelta | None
     """Time for which the client waits for a response, if stated."""
 
+    key_digest: KeyDigest | None = field(default=None, repr=False)
+    """Digest of the client's key; None if it states none that can be read."""
+
     @property
     def log_id(self) -> str:
         """Request id as text, for log lines."""
@@ -85,8 +89,9 @@
     read_request_metadata: Callable[[Request], RequestMetadata | None]
     """Reads a request; returns None for a request without an id."""
 
-    target_headers: Callable[[TargetId, timedelta], Headers]
-    """Headers to add for a target, which state its id and the time left."""
+    target_headers: Callable[[TargetId, timedelta, AccountName | None], Headers]
+    """Headers to add for a target, which state its id, the time left and the
+    account that holds the client's key, if any."""
 
     read_response_metadata: Callable[[TargetResponse], ResponseMetadata]
     read_health_metadata: Callable[[TargetResponse], HealthMetadata]
@@ -96,3 +101,10 @@
     local_response_headers: Callable[[bytes, timedelta | None], Headers]
     """Headers of a response that the entry VM makes itself, from the request id
     and the time after which the client may retry, if any."""
+
+    account_headers: frozenset[bytes] = frozenset()
+    """Names, in lower case, of a client's headers that targets never get while
+    keys are required: the key, and what only the system may state."""
+
+    key_challenge: Headers = ()
+    """Headers of a response that refuses an unknown or missing key."""
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -21,13 +21,18 @@
 from plantainstand_placement import RetryBudgetShare, TargetTable
 from plantainstand_telemetry import Metrics
 
+from plantainstand_edge._access import (
+    AccessControl,
+    AccountChecks,
+    UnlimitedPermits,
+)
 from plantainstand_edge._control_links import (
     REPORT_INTERVAL,
     ControlLinks,
     ControlPlaneState,
 )
-from plantainstand_edge._dialect import HeaderCodec
 from plantainstand_edge._fleet_view import FleetView
+from plantainstand_edge._header_codec import HeaderCodec
 from plantainstand_edge._probes import TargetProbes
 from plantainstand_edge._settings import EntrySettings
 from plantainstand_edge._steering import RequestSteering, SteeringInputs
@@ -129,6 +134,7 @@
             clock,
         )
         self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
+        access = AccessControl(self._desired_view.accounts, lambda: True)
         inputs = SteeringInputs(
             self._desired_view,
             self._target_table,
@@ -137,6 +143,7 @@
             self._fleet_view,
             self._target_limits,
             self._probes,
+            AccountChecks(access, UnlimitedPermits(clock)),
             self._metrics,
         )
         self._steering = RequestSteering(settings, inputs, header_codec, clock)
--- a/libraries/edge/plantainstand_edge/_probes.py
+++ b/libraries/edge/plantainstand_edge/_probes.py
@@ -12,7 +12,7 @@
 from plantainstand_placement import TargetState
 from result import Err
 
-from plantainstand_edge._dialect import HeaderCodec
+from plantainstand_edge._header_codec import HeaderCodec
 from plantainstand_edge._target_limits import TargetLimits, record_pause
 
 _log = structlog.get_logger()
--- a/libraries/edge/plantainstand_edge/_request_log.py
+++ b/libraries/edge/plantainstand_edge/_request_log.py
@@ -10,8 +10,8 @@
 from plantainstand_telemetry import Metrics
 from result import Ok
 
+from plantainstand_edge._active_request import ActiveRequest
 from plantainstand_edge._fleet_view import FleetView
-from plantainstand_edge._journey import ActiveRequest
 from plantainstand_edge._service_times import ServiceTimes
 
 _log = structlog.get_logger()
@@ -59,6 +59,8 @@
             route_version=active.match.version,
             desired_index=self._desired_view.index,
             list_age_s=round(self._target_table.age(now).total_seconds(), 2),
+            account=active.account_name,
+            rank=active.rank,
             service=active.service,
             object=_as_text(active.metadata.object_key),
             target=active.last_target,
--- a/libraries/edge/plantainstand_edge/_settings.py
+++ b/libraries/edge/plantainstand_edge/_settings.py
@@ -36,3 +36,7 @@
 
     stop_grace_period: timedelta
     """Time between the order to stop and the forced end of the process."""
+
+    key_withdrawal_limit: timedelta | None = None
+    """Longest time for which a VM without contact may use a key that was
+    withdrawn; None for no limit."""
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 import structlog
-from plantainstand_core import Clock
+from plantainstand_core import Clock, ServiceId
 from plantainstand_desired import DesiredView, RouteMatch
 from plantainstand_http import (
     FailureKind,
@@ -34,11 +34,22 @@
     targets_to_probe,
 )
 from plantainstand_telemetry import Metrics
+from result import Err
 
-from plantainstand_edge._attempts import TargetAttempts, forward_response
-from plantainstand_edge._dialect import HeaderCodec, RequestMetadata
+from plantainstand_edge._access import (
+    AccessDenial,
+    AccountChecks,
+    PermitDenial,
+)
+from plantainstand_edge._active_request import ActiveRequest
+from plantainstand_edge._attempts import (
+    Durations,
+    TargetAttempts,
+    forward_response,
+)
 from plantainstand_edge._fleet_view import FleetView
-from plantainstand_edge._journey import ActiveRequest
+from plantainstand_edge._header_codec import HeaderCodec, RequestMetadata
+from plantainstand_edge._local_responses import LocalResponses
 from plantainstand_edge._probes import PROBE_TIMEOUT, TargetProbes
 from plantainstand_edge._request_log import RequestLog
 from plantainstand_edge._service_times import ServiceTimes
@@ -57,9 +68,6 @@
 DEFAULT_CLIENT_TIMEOUT = timedelta(seconds=30)
 """Timeout assumed for a client that states none."""
 
-NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
-"""Retry-After of a VM that has no desired state yet."""
-
 STOPPING_RETRY_AFTER = timedelta(milliseconds=20)
 """Retry-After of a VM that is stopping: another VM can serve the request."""
 
@@ -82,6 +90,7 @@
     fleet_view: FleetView
     target_limits: TargetLimits
     probes: TargetProbes
+    accounts: AccountChecks
     metrics: Metrics
 
 
@@ -100,6 +109,10 @@
         self._inputs = inputs
         self._header_codec = header_codec
         self._clock = clock
+        self._responses = LocalResponses(
+            header_codec, inputs.desired_view, inputs.metrics
+        )
+        self._accounts = inputs.accounts
         self._splitter = TrafficSplitter()
         self._service_times = ServiceTimes()
         self._run_times = RunTimes()
@@ -119,10 +132,11 @@
         self._attempts = TargetAttempts(
             inputs.pool,
             header_codec,
-            self._service_times,
-            self._run_times,
-            self._longest_durations,
+            Durations(
+                self._service_times, self._run_times, self._longest_durations
+            ),
             inputs.target_limits,
+            self._accounts,
             self._request_log,
             clock,
         )
@@ -144,13 +158,17 @@
         """Serve a request; cancelled when the client disconnects."""
         metadata = self._header_codec.read_request_metadata(request)
         if metadata is None:
-            return self._local_response(
+            return self._responses.local(
                 None, HTTPStatus.BAD_REQUEST, 'no request id'
             )
         match = self._inputs.desired_view.match(metadata.host, metadata.path)
         if match is None:
-            return self._respond_unmatched(metadata)
+            return self._responses.unmatched(metadata)
+        checked = self._accounts.access.check(match, metadata.key_digest)
+        if isinstance(checked, Err):
+            return self._responses.denied(metadata, match, checked.err_value)
         active = self._start(request, metadata, match)
+        active.account = checked.ok_value
         time_limit = asyncio.timeout_at(self._exit_loop_time())
         self._time_limits.add(time_limit)
         try:
@@ -166,7 +184,7 @@
             self._time_limits.discard(time_limit)
         if response.rest is None:
             return response
-        fallback = self._local_response(
+        fallback = self._responses.local(
             metadata, HTTPStatus.BAD_GATEWAY, 'the outcome is not known'
         )
         return replace(response, fallback=fallback)
@@ -217,20 +235,32 @@
 
     async def _serve(self, active: ActiveRequest) -> Response:
         while True:
+            if not self._accounts.access.still_allows(active):
+                return self._respond_withdrawn(active)
             if not self._ends_before_exit(active):
                 refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
                 return self._respond_without_success(active, refusal)
-            choice = await self._choose_known(active)
-            if isinstance(choice, Refusal):
-                return self._respond_without_success(active, choice)
-            if active.deadline - self._clock.monotonic() < MIN_ATTEMPT_TIME:
-                return self._respond_without_success(active, None)
-            response = await self._attempts.send(active, choice)
+            denial = await self._accounts.acquire(active)
+            if denial is not None:
+                return self._respond_limited(active, denial)
+            try:
+                response = await self._attempt(active)
+            finally:
+                self._accounts.settle(active)
             if response is not None:
                 return response
             if not self._may_retry(active):
                 return self._respond_without_success(active, None)
 
+    async def _attempt(self, active: ActiveRequest) -> Response | None:
+        """Make an attempt; return None if another one may help."""
+        choice = await self._choose_known(active)
+        if isinstance(choice, Refusal):
+            return self._respond_without_success(active, choice)
+        if active.deadline - self._clock.monotonic() < MIN_ATTEMPT_TIME:
+            return self._respond_without_success(active, None)
+        return await self._attempts.send(active, choice)
+
     def _ends_before_exit(self, active: ActiveRequest) -> bool:
         if self._exit_at is None or self._notice_until is None:
             return True
@@ -263,10 +293,10 @@
         criteria = PlacementCriteria(
             object_key=active.object_key,
             region=self._settings.region,
-            home_regions=active.match.route.home_regions,
+            home_regions=active.home_regions,
             objective_left=active.objective - now,
             time_left=active.deadline - now,
-            cold_share=self._cold_share(active),
+            cold_share=_cold_share(active.service, self._settings, inputs),
             request_limits=RequestLimits(
                 self._settings.region,
                 inputs.fleet_view.share,
@@ -293,13 +323,6 @@
             active.last_cold_limit = cold_limit(choice.state, criteria, now)
         return choice
 
-    def _cold_share(self, active: ActiveRequest) -> ColdRequestShare:
-        policy = self._inputs.desired_view.service_policy(active.service)
-        rate = 0 if policy is None else policy.cold_requests_per_second
-        return self._settings.cold_target_limits.share(
-            rate, self._inputs.fleet_view.share
-        )
-
     def _may_retry(self, active: ActiveRequest) -> bool:
         now = self._clock.monotonic()
         allowed = (
@@ -334,7 +357,7 @@
         if active.last_failure is FailureKind.TIMED_OUT:
             status = HTTPStatus.GATEWAY_TIMEOUT
         self._request_log.record_request(active, status, 'outcome unknown')
-        return self._local_response(
+        return self._responses.local(
             active.metadata, status, 'the outcome is not known'
         )
 
@@ -345,7 +368,7 @@
             return self._respond_not_run(active, refusal)
         status = HTTPStatus.GATEWAY_TIMEOUT
         self._request_log.record_request(active, status, 'process ends')
-        return self._local_response(
+        return self._responses.local(
             active.metadata, status, 'the outcome is not known'
         )
 
@@ -368,40 +391,40 @@
                 self._returning_callers.record(active.service, return_at)
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._request_log.record_request(active, status, reason)
-        return self._local_response(
+        return self._responses.local(
             active.metadata, status, reason, retry_after
         )
 
-    def _respond_unmatched(self, metadata: RequestMetadata) -> Response:
-        desired_view = self._inputs.desired_view
-        status = HTTPStatus.NOT_FOUND
-        retry_after = None
-        if not desired_view.has_routes:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            retry_after = NOT_READY_RETRY_AFTER
-        _log.info(
-            'request without a route',
-            request=metadata.log_id,
-            host=metadata.host,
-            path=metadata.path,
-            desired_index=desired_view.index,
-            status=int(status),
+    def _respond_withdrawn(self, active: ActiveRequest) -> Response:
+        """Respond to a request whose key ended while it was being served."""
+        if active.may_have_run:
+            return self._respond_without_success(active, None)
+        checked = self._accounts.access.check(
+            active.match, active.metadata.key_digest
         )
-        self._inputs.metrics.count(
-            'plantainstand_entry_requests_total',
-            outcome='no route',
-        )
-        return self._local_response(metadata, status, 'no route', retry_after)
+        denial = checked.err() or AccessDenial.UNKNOWN_KEY
+        return self._responses.denied(active.metadata, active.match, denial)
 
-    def _local_response(
-        self,
-        metadata: RequestMetadata | None,
-        status: HTTPStatus,
-        reason: str,
-        retry_after: timedelta | None = None,
+    def _respond_limited(
+        self, active: ActiveRequest, denial: PermitDenial
     ) -> Response:
-        request_id = b'' if metadata is None else metadata.request_id
-        headers = self._header_codec.local_response_headers(
-            request_id, retry_after
+        """Respond to a request that the limit of its account does not allow."""
+        if active.may_have_run or active.last_error_response is not None:
+            return self._respond_without_success(active, None)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        reason = 'account limit not known'
+        if denial.is_over_limit:
+            status = HTTPStatus.TOO_MANY_REQUESTS
+            reason = 'account limit reached'
+        self._request_log.record_request(active, status, reason)
+        return self._responses.local(
+            active.metadata, status, reason, denial.retry_after
         )
-        return Response(status, headers, reason.encode())
+
+
+def _cold_share(
+    service: ServiceId, settings: EntrySettings, inputs: SteeringInputs
+) -> ColdRequestShare:
+    policy = inputs.desired_view.service_policy(service)
+    rate = 0 if policy is None else policy.cold_requests_per_second
+    return settings.cold_target_limits.share(rate, inputs.fleet_view.share)
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -121,12 +121,14 @@
     )
 
 
-def encode_request(request: Request, added: Headers) -> bytes:
-    """Encode a request to be forwarded, with headers added.
+def encode_request(
+    request: Request, added: Headers, removed: Collection[bytes] = ()
+) -> bytes:
+    """Encode a request to be forwarded, with headers added and removed.
 
     An added header replaces those of the client with the same name.
     """
-    replaced = {name for name, _content in added}
+    replaced = {*removed, *(name for name, _content in added)}
     lines = [b'%s %s HTTP/1.1' % (request.method, request.request_target)]
     kept = end_to_end_headers(request.headers, replaced)
     lines.extend(b'%s: %s' % header for header in (*kept, *added))
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -50,6 +50,8 @@
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
+    """How many times as long as usual work takes on its machine now."""
 
 
 class TargetState:
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -13,7 +13,7 @@
     TargetId,
     VmId,
 )
-from plantainstand_desired import DesiredView, Route
+from plantainstand_desired import AccountName, DesiredView, Route
 from plantainstand_edge import (
     EntrySettings,
     HeaderCodec,
@@ -23,6 +23,11 @@
     ResponseMetadata,
     SteeringInputs,
 )
+from plantainstand_edge._access import (
+    AccessControl,
+    AccountChecks,
+    UnlimitedPermits,
+)
 from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._node import METRIC_HELP
 from plantainstand_edge._probes import TargetProbes
@@ -137,8 +142,10 @@
     return ((b'retry-after', str(retry_after.total_seconds()).encode()),)
 
 
-def _target_headers(_target: TargetId, _left: timedelta) -> Headers:
-    return ()
+def _target_headers(
+    _target: TargetId, _left: timedelta, account: AccountName | None
+) -> Headers:
+    return () if account is None else ((b'account', account.encode()),)
 
 
 HEADER_CODEC = HeaderCodec(
@@ -192,6 +199,7 @@
         pool: object | None = None,
     ):
         self.clock = ManualClock()
+        self.has_current_keys = True
         self.pool = ScriptedPool(outcomes, self.clock)
         item = route_item('shop', 1)
         body = item.body
@@ -237,6 +245,10 @@
                 limits,
                 self.clock,
             ),
+            AccountChecks(
+                AccessControl(view.accounts, lambda: self.has_current_keys),
+                UnlimitedPermits(self.clock),
+            ),
             metrics,
         )
         self.steering = RequestSteering(
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -55,7 +55,9 @@
 
     def test_target_headers(self) -> None:
         """The time left is rounded down, so that no target exceeds it."""
-        headers = target_headers(TargetId('i-1'), timedelta(seconds=0.1239))
+        headers = target_headers(
+            TargetId('i-1'), timedelta(seconds=0.1239), None
+        )
         self.assertIn((b'x-deadline-ms', b'123'), headers)
         self.assertIn((b'x-expect-instance', b'i-1'), headers)
 
