--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -2,6 +2,10 @@
 
 from plantainstand_fleet._listing import TargetListing
 from plantainstand_fleet._messages import (
+    AccountAnswer,
+    AccountQuestion,
+    Allotment,
+    AllotmentUse,
     ControlVm,
     DesiredUpdate,
     EntryChanges,
@@ -30,6 +34,10 @@
 )
 
 __all__ = (
+    'AccountAnswer',
+    'AccountQuestion',
+    'Allotment',
+    'AllotmentUse',
     'ControlVm',
     'DesiredUpdate',
     'EntryChanges',
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -10,7 +10,7 @@
     TargetId,
     VmId,
 )
-from plantainstand_desired import EvacuationItem, Item
+from plantainstand_desired import AccountName, EvacuationItem, Item
 from result import Err, Ok, Result
 
 from plantainstand_fleet._sharing import SharingRegion
@@ -179,6 +179,69 @@
     payload: bytes
 
 
+class AllotmentUse(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry VM has of an account's limit, and what it wants."""
+
+    account: AccountName
+    allotment: int
+    """Runs that the VM may begin in any window."""
+
+    committed: int
+    """The larger of the allotment and the runs in the newest window."""
+
+    demand: int
+    """Runs and rejections in the newest window."""
+
+
+class AccountQuestion(_Message, frozen=True):
+    """Asks the leader for the newest change of accounts and for allotments."""
+
+    number: int
+    """Increases with each question of a process."""
+
+    incarnation: int
+    """Identifies the process of the entry VM that asks."""
+
+    applied: int = 0
+    """Number of the question whose answer was applied last."""
+
+    uses: tuple[AllotmentUse, ...] = ()
+    vm: VmId = VmId('')
+    """Entry VM that asks, if a control VM forwards the question."""
+
+
+class Allotment(msgspec.Struct, frozen=True, array_like=True):
+    """Part of an account's limit that one entry VM gets."""
+
+    account: AccountName
+    amount: int
+    """Runs that the VM may begin in any window."""
+
+    is_exhausted: bool = False
+    """Whether nothing more of the limit is free now."""
+
+
+class AccountAnswer(_Message, frozen=True):
+    """The leader's answer to an :class:`AccountQuestion`."""
+
+    number: int
+    term: int
+    """Term of the leader."""
+
+    accounts_index: int
+    """Log index of the newest change of an account, as of a read barrier that
+    began after the leader had the question."""
+
+    allotments: tuple[Allotment, ...] = ()
+    """All allotments of the VM; it has none of accounts that are missing."""
+
+    vm: VmId = VmId('')
+    """Entry VM that asked, if a control VM is to forward the answer."""
+
+    incarnation: int = 0
+    """Process that asked."""
+
+
 FleetMessage = (
     Hello
     | EntryReport
@@ -187,6 +250,8 @@
     | DesiredUpdate
     | Roster
     | ReplicaMessage
+    | AccountQuestion
+    | AccountAnswer
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
