Desired state: print accounts and items without keys and digests

Cause: the generated repr of an item shows its document, which holds keys, and that of an account the digests; both reach logs through any message or exception that prints them. Change: both types have their own repr.

--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -122,6 +122,14 @@
     home_regions: tuple[RegionId, ...] = ()
     """Regions that may serve the requests; if empty, all may."""
 
+    def __repr__(self) -> str:
+        """Describe the account without the digests of its keys."""
+        return (
+            f'ClientAccount({len(self.key_digests)} keys, rank={self.rank},'
+            f' requests_per_second={self.requests_per_second},'
+            f' burst={self.burst}, home_regions={self.home_regions})'
+        )
+
 
 ItemBody = Route | ServicePolicy | IngressLimits | ClientAccount
 
@@ -146,6 +154,13 @@
     index: int = 0
     """Log index of the change that set this version; 0 until accepted."""
 
+    def __repr__(self) -> str:
+        """Describe the item without its document, which may hold keys."""
+        return (
+            f'Item({self.kind}, {self.name!r}, version={self.version},'
+            f' body={self.body!r}, index={self.index})'
+        )
+
     @property
     def size(self) -> int:
         """Approximate length in bytes when encoded."""
--- a/tests/desired/builders.py
+++ b/tests/desired/builders.py
@@ -1,9 +1,10 @@
 """Builders of items and state for tests."""
 
-from plantainstand_core import LogIndex, ServiceId
+from plantainstand_core import LogIndex, RegionId, ServiceId
 from plantainstand_desired import (
     ChangeItems,
     ChangeOutcome,
+    ClientAccount,
     DesiredState,
     Item,
     ItemKind,
@@ -12,6 +13,7 @@
     Version,
     WeightedService,
     decode_outcome,
+    digest_key,
     encode_command,
 )
 from plantainstand_desired._state import Command
@@ -51,6 +53,32 @@
     return Item(ItemKind.SERVICE, name, Version(version), body, b'service')
 
 
+def account_item(
+    name: str,
+    version: int,
+    *keys: str,
+    rank: int | None = None,
+    rate: float = 0,
+    burst: float = 0,
+    home_regions: tuple[str, ...] = (),
+) -> Item:
+    """Return the item of a client account with keys."""
+    body = ClientAccount(
+        tuple(digest_key(key.encode()) for key in keys),
+        rank,
+        rate,
+        burst,
+        tuple(RegionId(region) for region in home_regions),
+    )
+    document = f'{name} {version} {keys}'.encode()
+    return Item(ItemKind.ACCOUNT, name, Version(version), body, document)
+
+
+def account_removal(name: str, version: int) -> Item:
+    """Return the tombstone of a client account."""
+    return Item(ItemKind.ACCOUNT, name, Version(version), None)
+
+
 def removal(name: str, version: int) -> Item:
     """Return the tombstone of a route."""
     return Item(ItemKind.ROUTE, name, Version(version), None)
