Desired state: refuse accounts whose names or figures cannot be used

Cause: a name with CR and LF adds header lines to requests, since targets get it in X-Tenant; an infinite, NaN or huge rate breaks the computation of totals; a negative priority was accepted.

--- a/tests/desired/test_accounts.py
+++ b/tests/desired/test_accounts.py
@@ -1,11 +1,13 @@
 """Tests of client accounts in the replicated state and in the view."""
 
+import math
 import unittest
 
 from plantainstand_core import LogIndex
 from plantainstand_desired import (
     ChangeItems,
     DesiredView,
+    Verdict,
     digest_key,
 )
 
@@ -38,3 +40,44 @@
             account_item('one', 1, _KEY), account_item('two', 1, _KEY)
         )
         self.assertEqual(outcome.problem, 'accounts one and two share a key')
+
+
+class ValidityTests(unittest.TestCase):
+    """Guards against accounts that a later step cannot handle."""
+
+    def test_names(self) -> None:
+        """Guards against names that add header lines to a request."""
+        cases = (
+            ('acme', Verdict.ACCEPTED),
+            ('Acme & Söhne 30%', Verdict.ACCEPTED),
+            ('a' * 256, Verdict.ACCEPTED),
+            ('', Verdict.INVALID),
+            (' acme', Verdict.INVALID),
+            ('acme ', Verdict.INVALID),
+            ('ac\r\nx-admin: 1', Verdict.INVALID),
+            ('ac\nme', Verdict.INVALID),
+            ('ac\0me', Verdict.INVALID),
+            ('ac\tme', Verdict.INVALID),
+            ('ac\x7fme', Verdict.INVALID),
+            ('a' * 257, Verdict.INVALID),
+        )
+        for name, verdict in cases:
+            with self.subTest(name):
+                outcome = AppliedCommands().change(account_item(name, 1, _KEY))
+                self.assertEqual(outcome.verdict, verdict)
+
+    def test_figures(self) -> None:
+        """Guards against limits that cannot be computed with."""
+        refused = (-1, -0.001, math.nan, math.inf, 1e308)
+        cases = [account_item('acme', 1, rate=figure) for figure in refused]
+        cases.extend(account_item('acme', 1, burst=each) for each in refused)
+        cases.extend(account_item('acme', 1, rank=rank) for rank in (-1, -7))
+        for item in cases:
+            with self.subTest(item.body):
+                self.assertEqual(
+                    AppliedCommands().change(item).verdict, Verdict.INVALID
+                )
+        accepted = account_item('acme', 1, rate=0.001, burst=1e9, rank=0)
+        self.assertEqual(
+            AppliedCommands().change(accepted).verdict, Verdict.ACCEPTED
+        )
