--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -4,7 +4,14 @@
 from types import MappingProxyType
 
 import msgspec
-from plantainstand_desired import ItemKind, Route
+from plantainstand_desired import (
+    ChangeItems,
+    ClientAccount,
+    ItemKind,
+    Route,
+    digest_key,
+    encode_command,
+)
 from plantainstand_platform.items import decode_patch, encode_items
 from result import Err
 
@@ -46,6 +53,17 @@
         'version': 'r7',
     }
 )
+_KEYS = ('k-3f81c2', 'k-77aa90')
+_TENANT = MappingProxyType(
+    {
+        'apiKeys': list(_KEYS),
+        'priority': 2,
+        'ratePerS': 12.5,
+        'burst': 40,
+        'homeRegions': ['norte', 'sul'],
+        'version': 'r7',
+    }
+)
 _ITEMS = MappingProxyType(
     {
         'routes': {'shop': dict(_ROUTE)},
@@ -61,6 +79,18 @@
     )
 
 
+def _tenant_patch(**tenant: object) -> bytes:
+    return msgspec.json.encode(
+        {'upsert': {'tenants': {'acme': {**_TENANT, **tenant}}}},
+    )
+
+
+def _account(**tenant: object) -> ClientAccount:
+    body = decode_patch(_tenant_patch(**tenant)).unwrap()[0].body
+    assert isinstance(body, ClientAccount)
+    return body
+
+
 class DecodeTests(unittest.TestCase):
     """Guards against wire fields that are decoded to the wrong fields."""
 
@@ -100,6 +130,89 @@
                 self.assertIsInstance(decode_patch(body), Err)
 
 
+class TenantTests(unittest.TestCase):
+    """Guards against accounts that are decoded to something else."""
+
+    def test_account(self) -> None:
+        """Every wire field of a tenant reaches its field, keys as digests."""
+        account = _account()
+        digests = tuple(digest_key(key.encode()) for key in _KEYS)
+        self.assertEqual(account.key_digests, digests)
+        self.assertEqual(account.rank, 2)
+        self.assertEqual(account.requests_per_second, 12.5)
+        self.assertEqual(account.burst, 40)
+        self.assertEqual(account.home_regions, ('norte', 'sul'))
+
+    def test_absent_fields(self) -> None:
+        """A tenant may state its version alone, and null for no limit."""
+        least = msgspec.json.encode(
+            {'upsert': {'tenants': {'acme': {'version': 'r1'}}}}
+        )
+        item = decode_patch(least).unwrap()[0]
+        self.assertEqual(item.body, ClientAccount((), None))
+        unlimited = _account(ratePerS=None, burst=None, priority=None)
+        self.assertEqual(unlimited.requests_per_second, 0)
+        self.assertIsNone(unlimited.rank)
+
+    def test_key_listed_twice(self) -> None:
+        """A key that one account lists twice is one key."""
+        account = _account(apiKeys=[_KEYS[0], _KEYS[0]])
+        self.assertEqual(len(account.key_digests), 1)
+
+    def test_removal(self) -> None:
+        """A removed tenant becomes an account without a body."""
+        body = msgspec.json.encode(
+            {'remove': {'tenants': [{'name': 'acme', 'version': 'r9'}]}},
+        )
+        item = decode_patch(body).unwrap()[0]
+        self.assertEqual(item.key, (ItemKind.ACCOUNT, 'acme'))
+        self.assertEqual((item.version, item.body), (9, None))
+
+    def test_unreadable_tenants(self) -> None:
+        """Guards against error texts that state keys, and exceptions."""
+        cases: dict[str, bytes] = {
+            'no list': _tenant_patch(apiKeys=_KEYS[0]),
+            'other type in the list': _tenant_patch(apiKeys=[*_KEYS, 5]),
+            'key for a figure': _tenant_patch(ratePerS=_KEYS[0]),
+            'key for a rank': _tenant_patch(priority=_KEYS[0]),
+            'key for a version': _tenant_patch(version=_KEYS[0]),
+            'key for the table': msgspec.json.encode(
+                {'upsert': {'tenants': _KEYS[0]}}
+            ),
+            'true for a figure': _tenant_patch(burst=True),
+            'text for a figure': _tenant_patch(burst='1'),
+            'no whole rank': _tenant_patch(priority=1.5),
+            'long rank': _tenant_patch().replace(b':2,', b':%d,' % 10**30),
+            'long version': _tenant_patch(version=f'r{10**30}'),
+            'very long version': _tenant_patch(version=f'r{10**4200}'),
+            'other digits': _tenant_patch(version='r\u0661'),
+            'NaN': _tenant_patch().replace(b'12.5', b'NaN'),
+            'out of range': _tenant_patch().replace(b'12.5', b'1e999'),
+            'half a surrogate': _tenant_patch().replace(b'k-77', rb'\ud800'),
+            'no UTF-8': _tenant_patch().replace(b'k-77', b'\xff\xfe'),
+            'cut short': _tenant_patch()[:40],
+            'deep': _tenant_patch().replace(b'40', b'[' * 9000 + b']' * 9000),
+        }
+        for name, body in cases.items():
+            with self.subTest(name):
+                decoded = decode_patch(body)
+                self.assertIsInstance(decoded, Err)
+                self.assertNotIn('k-3f', decoded.err_value or '')
+                self.assertNotIn('aa90', decoded.err_value or '')
+
+    def test_whole_numbers_fit_into_the_log(self) -> None:
+        """Guards against a change that is decoded but cannot be encoded."""
+        body = _tenant_patch(priority=2**31 - 1, version=f'r{10**18 - 1}')
+        self.assertTrue(
+            encode_command(ChangeItems(decode_patch(body).unwrap()))
+        )
+        for name in ('priority', 'maxAttempts'):
+            with self.subTest(name):
+                self.assertIsInstance(
+                    decode_patch(_patch(**{name: 10**30})), Err
+                )
+
+
 class ReadBackTests(unittest.TestCase):
     """Guards against fields that are lost between a patch and a read."""
 
@@ -111,6 +224,18 @@
         read = msgspec.json.decode(encode_items(list(items)))
         self.assertEqual(read, extended)
 
+    def test_tenants_are_read_as_sent(self) -> None:
+        """The operator reads keys, figures and unknown fields back."""
+        extended = {'acme': {**_TENANT, 'newField': [1]}}
+        sent = msgspec.json.encode({'upsert': {'tenants': extended}})
+        items = decode_patch(sent).unwrap()
+        read = msgspec.json.decode(encode_items(list(items)))
+        self.assertEqual(read['tenants'], extended)
+
+    def test_no_tenants(self) -> None:
+        """Without accounts the document has the form it had before."""
+        self.assertNotIn('tenants', msgspec.json.decode(encode_items([])))
+
     def test_field_order_does_not_matter(self) -> None:
         """A resend with another field order decodes to equal items."""
         reordered = dict(reversed(list(_ROUTE.items())))
@@ -132,12 +257,13 @@
     def test_route_types(self) -> None:
         """An unknown route type is refused, as it may not be repeatable."""
         cases = (
-            ('safe', True, False),
-            ('download', True, True),
-            ('unsafe', False, False),
-            ('odd', None, None),
+            ('safe', True, False, False),
+            ('download', True, True, False),
+            ('unsafe', False, False, False),
+            ('upload', False, False, True),
+            ('odd', None, None, None),
         )
-        for kind, idempotent, large in cases:
+        for kind, idempotent, large, large_bodies in cases:
             with self.subTest(kind):
                 decoded = decode_patch(_patch(routeType=kind))
                 if idempotent is None:
@@ -147,3 +273,12 @@
                 assert isinstance(route, Route)
                 self.assertEqual(route.idempotent, idempotent)
                 self.assertEqual(route.large_answers, large)
+                self.assertEqual(route.large_bodies, large_bodies)
+
+    def test_public_routes(self) -> None:
+        """A route needs keys unless it says that it is public."""
+        for fields, public in (({}, False), ({'public': True}, True)):
+            route = decode_patch(_patch(**fields)).unwrap()[0].body
+            assert isinstance(route, Route)
+            self.assertIs(route.public, public)
+        self.assertIsInstance(decode_patch(_patch(public='yes')), Err)
