--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -188,7 +188,9 @@
             'other digits': _tenant_patch(version='r\u0661'),
             'NaN': _tenant_patch().replace(b'12.5', b'NaN'),
             'out of range': _tenant_patch().replace(b'12.5', b'1e999'),
-            'half a surrogate': _tenant_patch().replace(b'k-77', rb'\ud800'),
+            'half a surrogate': _tenant_patch().replace(
+                b'k-77', b'%cud800' % 92
+            ),
             'no UTF-8': _tenant_patch().replace(b'k-77', b'\xff\xfe'),
             'cut short': _tenant_patch()[:40],
             'deep': _tenant_patch().replace(b'40', b'[' * 9000 + b']' * 9000),
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -42,12 +42,22 @@
     def test_missing_and_invalid_headers(self) -> None:
         """A request needs an id; an invalid deadline counts as missing."""
         self.assertIsNone(read_request_metadata(_request((b'host', b'shop'))))
-        metadata = read_request_metadata(
-            _request((b'x-request-id', b'1'), (b'x-deadline-ms', b'soon')),
-        )
-        assert metadata is not None
-        self.assertIsNone(metadata.client_timeout)
-        self.assertIsNone(metadata.object_key)
+        for stated in (b'soon', b'', b'-1'):
+            metadata = read_request_metadata(
+                _request((b'x-request-id', b'1'), (b'x-deadline-ms', stated)),
+            )
+            assert metadata is not None
+            self.assertIsNone(metadata.client_timeout)
+            self.assertIsNone(metadata.object_key)
+
+    def test_long_deadlines(self) -> None:
+        """Guards against exceptions for deadlines of very many digits."""
+        for stated in (b'9' * 9, b'9' * 20, b'9' * 8000):
+            metadata = read_request_metadata(
+                _request((b'x-request-id', b'1'), (b'x-deadline-ms', stated)),
+            )
+            assert metadata is not None
+            self.assertEqual(metadata.client_timeout, timedelta(days=1))
 
 
 class TargetTests(unittest.TestCase):
