--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -5,10 +5,12 @@
 from itertools import product
 
 from plantainstand_core import TargetId
-from plantainstand_http import Request, TargetResponse
+from plantainstand_desired import AccountName, KeyDigest, digest_key
+from plantainstand_http import Headers, Request, TargetResponse, encode_request
 from plantainstand_placement import LoadReport
 from plantainstand_platform.requests import (
     local_response_headers,
+    platform_header_codec,
     read_health_metadata,
     read_request_metadata,
     read_response_metadata,
@@ -20,6 +22,103 @@
     return Request(b'GET', b'/a/b?c=1', headers, b'', timedelta())
 
 
+def _key_digest(*authorization: bytes) -> KeyDigest | None:
+    stated = ((b'authorization', content) for content in authorization)
+    metadata = read_request_metadata(_request((b'x-request-id', b'1'), *stated))
+    assert metadata is not None
+    return metadata.key_digest
+
+
+class KeyTests(unittest.TestCase):
+    """Guards against headers that are taken for a key, or raise."""
+
+    def test_readable_keys(self) -> None:
+        """The digest is that of the key's bytes, in each allowed form."""
+        cases = (
+            (b'Token k-3f81', b'k-3f81'),
+            (b'token k-3f81', b'k-3f81'),
+            (b'TOKEN   k-3f81 ', b'k-3f81'),
+            (b'Token a=b,c:d/e+f', b'a=b,c:d/e+f'),
+            (b'Token %s' % (b'k' * 8192), b'k' * 8192),
+            ('Token caña'.encode(), 'caña'.encode()),
+        )
+        for stated, key in cases:
+            with self.subTest(stated[:20]):
+                self.assertEqual(_key_digest(stated), digest_key(key))
+
+    def test_unreadable_keys(self) -> None:
+        """No key is read from an odd, empty, doubled or absent header."""
+        cases: tuple[tuple[bytes, ...], ...] = (
+            (),
+            (b'',),
+            (b' ',),
+            (b'Token',),
+            (b'Token ',),
+            (b'Tokenk-3f81',),
+            (b'Token\tk-3f81',),
+            (b'Token \x0bk-3f81',),
+            (b'Token k-3f81\x00',),
+            (b'Token k-3f81, Token k-3f81',),
+            (b'Token k 3f81',),
+            (b'Bearer k-3f81',),
+            (b'Basic ay0zZjgx',),
+            (b'k-3f81',),
+            (b'\xff\xfe\x80',),
+            (b'\xff' * 8192,),
+            (b'Token k-3f81', b'Token k-3f81'),
+            (b'Token k-3f81', b''),
+            (b'Bearer a', b'Token k-3f81'),
+        )
+        for stated in cases:
+            with self.subTest([each[:20] for each in stated]):
+                self.assertIsNone(_key_digest(*stated))
+
+    def test_key_is_not_printed(self) -> None:
+        """Guards against digests in log lines that print the metadata."""
+        metadata = read_request_metadata(
+            _request((b'x-request-id', b'1'), (b'authorization', b'Token k-3f'))
+        )
+        assert metadata is not None
+        self.assertNotIn(repr(metadata.key_digest), repr(metadata))
+
+
+class AccountHeaderTests(unittest.TestCase):
+    """Guards against accounts and keys of a client that reach a target."""
+
+    def test_headers_at_the_target(self) -> None:
+        """A target gets the system's X-Tenant alone, and no Authorization."""
+        forged: Headers = (
+            (b'x-tenant', b'other'),
+            (b'accept', b'*/*'),
+            (b'x-tenant', b''),
+            (b'x_tenant', b'other'),
+            (b'authorization', b'Token k-3f81'),
+            (b'authorization', b'\xff'),
+            (b'connection', b'x-tenant'),
+        )
+        cases = (
+            (None, None),
+            ('acme', b'acme'),
+            ('Söhne', 'Söhne'.encode()),
+        )
+        for name, stated in cases:
+            with self.subTest(name):
+                account = None if name is None else AccountName(name)
+                payload = encode_request(
+                    _request(*forged),
+                    target_headers(TargetId('i-1'), timedelta(1), account),
+                    platform_header_codec().account_headers,
+                )
+                lines = payload.split(b'\r\n')
+                self.assertIn(b'accept: */*', lines)
+                self.assertNotIn(b'other', payload)
+                self.assertNotIn(b'authorization', payload.lower())
+                self.assertEqual(
+                    [line for line in lines if b'tenant' in line.lower()],
+                    [] if stated is None else [b'x-tenant: %s' % stated],
+                )
+
+
 class RequestTests(unittest.TestCase):
     """Guards against misread headers of a client."""
 
@@ -52,12 +151,20 @@
 
     def test_long_deadlines(self) -> None:
         """Guards against exceptions for deadlines of very many digits."""
-        for stated in (b'9' * 9, b'9' * 20, b'9' * 8000):
+        zeros = b'0' * 8000
+        cases = (
+            (b'9' * 9, timedelta(days=1)),
+            (b'9' * 20, timedelta(days=1)),
+            (b'9' * 8000, timedelta(days=1)),
+            (b'%s5' % zeros, timedelta(milliseconds=5)),
+            (zeros, timedelta()),
+        )
+        for stated, expected in cases:
             metadata = read_request_metadata(
                 _request((b'x-request-id', b'1'), (b'x-deadline-ms', stated)),
             )
             assert metadata is not None
-            self.assertEqual(metadata.client_timeout, timedelta(days=1))
+            self.assertEqual(metadata.client_timeout, expected)
 
 
 class TargetTests(unittest.TestCase):
@@ -122,6 +229,48 @@
                 self.assertEqual(metadata.misdirected, misdirected)
                 self.assertEqual(metadata.load, load_report)
 
+    def test_load_header(self) -> None:
+        """Guards against figures that make a target look far from its load."""
+        cases: tuple[tuple[bytes, LoadReport | None], ...] = (
+            (b'3,1,8', LoadReport(3, 1, 8)),
+            (b' 3 , 1 , 8 ', LoadReport(3, 1, 8)),
+            (b'3,1,8,100', LoadReport(3, 1, 8)),
+            (b'3,1,8,250', LoadReport(3, 1, 8, 2.5)),
+            (b'3,1,8, 50', LoadReport(3, 1, 8, 0.5)),
+            (b'3,1,8,0', LoadReport(3, 1, 8)),
+            (b'3,1,8,00', LoadReport(3, 1, 8)),
+            (b'3,1,8,1', LoadReport(3, 1, 8, 0.1)),
+            (b'3,1,8,10', LoadReport(3, 1, 8, 0.1)),
+            (b'3,1,8,2000', LoadReport(3, 1, 8, 20)),
+            (b'3,1,8,2001', LoadReport(3, 1, 8, 20)),
+            (b'3,1,8,999999999', LoadReport(3, 1, 8, 20)),
+            (b'', None),
+            (b'3', None),
+            (b'3,1', None),
+            (b'3,1,', None),
+            (b'3,1,8,', None),
+            (b'3,1,8,x', None),
+            (b'3,1,8,1.5', None),
+            (b'3,1,8,-1', None),
+            (b'3,1,8,+1', None),
+            (b'3,1,8,1e2', None),
+            (b'3,1,8,1 0', None),
+            (b'3,1,8,100,1', None),
+            (b'3,1,8,nan', None),
+            (b'3,1,8,\xb2', None),
+            (b'3.0,1,8,100', None),
+            (b'3,1,%s' % (b'9' * 5000), None),
+            (b'3,1,8,%s' % (b'9' * 5000), None),
+            (b',' * 5000, None),
+        )
+        for status, (stated, expected) in product((200, 503), cases):
+            headers = ((b'x-server-load', stated),)
+            with self.subTest(status=status, stated=stated[:20]):
+                metadata = read_response_metadata(
+                    TargetResponse(status, headers, b'')
+                )
+                self.assertEqual(metadata.load, expected)
+
     def test_request_limit(self) -> None:
         """A limit that is no decimal number counts as not stated."""
         cases = (
