Steering: keep a target usable when a request for it is withheld

Cause: a request whose key ends while its connection is made was recorded as a failed connection, so the target backed off from all requests. Change: such an attempt blames no target. Tests of the checks at the entry VM come with it. Result: test_withheld_request_does_not_blame_the_target, which fails before.

--- a/libraries/edge/plantainstand_edge/_active_request.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -40,6 +40,10 @@
     is_sending: bool = False
     """Whether an attempt is in progress that may have reached its target."""
 
+    is_withheld: bool = False
+    """Whether the last attempt was not sent because the account of the request
+    may no longer run it."""
+
     connect_failures: int = 0
     """Attempts that failed before a byte of the request was sent."""
 
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -100,6 +100,7 @@
             ),
             self._removed_headers(),
         )
+        active.is_withheld = False
         state.record_sent(started)
         state.record_object(active.object_key, responded=False)
         # Stays set if the exchange is cancelled: the target may run on.
@@ -143,6 +144,7 @@
         stood still meanwhile.
         """
         if not self._access.still_allows(active):
+            active.is_withheld = True
             return False
         now = self._clock.monotonic()
         decided_at = active.last_sent_at or now
@@ -256,8 +258,7 @@
         active.last_failure = failure.kind
         if failure.kind is FailureKind.NOT_SENT:
             active.connect_failures += 1
-            choice.state.forget_object(active.object_key)
-            choice.state.record_unreachable(now)
+            self._record_not_sent(active, choice.state, now)
         else:
             active.sends += 1
             active.maybe_ran = True
@@ -277,6 +278,16 @@
             detail=failure.detail,
         )
 
+    def _record_not_sent(
+        self, active: ActiveRequest, state: TargetState, now: timedelta
+    ) -> None:
+        state.forget_object(active.object_key)
+        if active.is_withheld:
+            # This VM withheld the request; the target may serve it yet.
+            active.tried_targets.discard(state.entry.target)
+        else:
+            state.record_unreachable(now)
+
 
 def _is_streamed(outcome: Result[TargetResponse, ExchangeFailure]) -> bool:
     return isinstance(outcome, Ok) and outcome.ok_value.rest is not None
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -13,7 +13,13 @@
     TargetId,
     VmId,
 )
-from plantainstand_desired import AccountName, DesiredView, Route
+from plantainstand_desired import (
+    AccountName,
+    DesiredView,
+    Item,
+    Route,
+    digest_key,
+)
 from plantainstand_edge import (
     EntrySettings,
     HeaderCodec,
@@ -59,6 +65,7 @@
 from tests.desired.builders import route_item
 from tests.placement.builders import entry
 
+Header = tuple[bytes, bytes]
 Outcome = Result[TargetResponse, ExchangeFailure]
 
 ANSWERED: Outcome = Ok(TargetResponse(200, (), b'whole'))
@@ -80,14 +87,19 @@
     def __init__(self, outcomes: Sequence[Outcome], clock: ManualClock):
         self.sent: list[str] = []
         self.timeouts: list[timedelta] = []
+        self.payloads: list[bytes] = []
         self.connect_time = timedelta()
+        self.when_connected: Callable[[], object] = tuple
+        """Called once there is a connection, before the request leaves."""
+
+        self.when_sent: Callable[[], object] = tuple
         self._outcomes = list(outcomes)
         self._clock = clock
 
     async def exchange(
         self,
         address: str,
-        _payload: bytes,
+        payload: bytes,
         _echoed_header: tuple[bytes, bytes | None],
         timeout: timedelta,
         *,
@@ -96,11 +108,14 @@
     ) -> Outcome:
         """Return the next outcome; a timeout advances the clock."""
         self._clock.advance(self.connect_time)
+        self.when_connected()
         if not may_send():
             return NOT_SENT
         self.sent.append(address)
+        self.payloads.append(payload)
         self.timeouts.append(timeout)
         outcome = self._outcomes.pop(0)
+        self.when_sent()
         if outcome is TIMED_OUT:
             self._clock.advance(timeout)
         return outcome
@@ -113,12 +128,14 @@
     request_id = header_value(request.headers, b'id')
     if request_id is None:
         return None
+    key = header_value(request.headers, b'key')
     return RequestMetadata(
         request_id,
         'shop.example',
         request.path.decode(),
         b'object',
         timedelta(seconds=2),
+        None if key is None else digest_key(key),
     )
 
 
@@ -155,6 +172,8 @@
     _read_health,
     b'id',
     _refusal_headers,
+    frozenset((b'key', b'account')),
+    ((b'challenge', b'key'),),
 )
 
 SETTINGS = EntrySettings(
@@ -197,6 +216,8 @@
         targets: int = 3,
         routes: bool = True,
         pool: object | None = None,
+        public: bool = False,
+        home_regions: tuple[str, ...] = (),
     ):
         self.clock = ManualClock()
         self.has_current_keys = True
@@ -208,8 +229,11 @@
             body,
             idempotent=idempotent,
             max_attempts=max_attempts,
+            public=public,
+            home_regions=tuple(RegionId(region) for region in home_regions),
         )
         view = DesiredView()
+        self.view = view
         if routes:
             item = msgspec.structs.replace(item, body=body)
             view.merge((item,), (), LogIndex(1))
@@ -255,12 +279,17 @@
             SETTINGS, inputs, HEADER_CODEC, self.clock
         )
 
-    def request(self, path: str = '/orders/1') -> Request:
+    def change(self, index: int, *items: Item) -> None:
+        """Merge the items of a change that has this log index."""
+        changed = [msgspec.structs.replace(item, index=index) for item in items]
+        self.view.merge(changed, (), LogIndex(index))
+
+    def request(self, path: str = '/orders/1', *headers: Header) -> Request:
         """Return a request that has just arrived."""
         return Request(
             b'POST',
             path.encode(),
-            ((b'id', b'1'),),
+            ((b'id', b'1'), *headers),
             b'',
             self.clock.monotonic(),
         )
--- /dev/null
+++ b/tests/edge/test_access.py
@@ -0,0 +1,207 @@
+"""Guards which requests run, and for which account, by their keys."""
+
+import unittest
+from collections.abc import Sequence
+
+from plantainstand_desired import Item
+from plantainstand_http import Response
+
+from tests.desired.builders import account_item, account_removal
+from tests.edge.builders import (
+    ANSWERED,
+    BROKEN,
+    FAILED,
+    NOT_SENT,
+    REJECTED,
+    Header,
+    Outcome,
+    SteeringFixture,
+)
+
+_ACME = account_item('acme', 1, 'k1', 'k2')
+_OTHER = account_item('other', 1, 'k3')
+_KEY = (b'key', b'k1')
+
+
+def _with_accounts(*outcomes: Outcome, **options: bool) -> SteeringFixture:
+    fixture = SteeringFixture(*outcomes, **options)
+    fixture.change(2, _ACME, _OTHER)
+    return fixture
+
+
+async def _serve(fixture: SteeringFixture, *headers: Header) -> Response:
+    return await fixture.steering.handle(fixture.request('/orders/1', *headers))
+
+
+def _accounts_sent(fixture: SteeringFixture) -> list[list[bytes]]:
+    return [
+        [line for line in payload.split(b'\r\n') if b'account' in line]
+        for payload in fixture.pool.payloads
+    ]
+
+
+class _Change:
+    """Merges a change when it is called first."""
+
+    def __init__(self, fixture: SteeringFixture, items: Sequence[Item]):
+        self._fixture = fixture
+        self._items = tuple(items)
+
+    def __call__(self) -> None:
+        if self._items:
+            self._fixture.change(3, *self._items)
+            self._items = ()
+
+
+class KeyTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that run without a key, or are wrongly denied."""
+
+    async def test_statuses(self) -> None:
+        """Guards the order of the checks: state, route, public, proof, key."""
+        cases: tuple[tuple[str, dict[str, bool], str, bytes | None, int], ...]
+        cases = (
+            ('known key', {}, '/orders/1', b'k1', 200),
+            ('unknown key', {}, '/orders/1', b'k9', 401),
+            ('no key', {}, '/orders/1', None, 401),
+            ('no route', {}, '/none/', b'k1', 404),
+            ('no route, no key', {}, '/none/', None, 404),
+            ('no state', {'routes': False}, '/orders/1', None, 503),
+            ('no state, known key', {'routes': False}, '/orders/1', b'k1', 503),
+            ('public', {'public': True}, '/orders/1', None, 200),
+            ('public, unknown key', {'public': True}, '/orders/1', b'k9', 200),
+        )
+        for name, options, path, key, status in cases:
+            with self.subTest(name):
+                fixture = _with_accounts(ANSWERED, **options)
+                headers = () if key is None else ((b'key', key),)
+                request = fixture.request(path, *headers)
+                response = await fixture.steering.handle(request)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(fixture.pool.sent), status == 200)
+
+    async def test_keys_that_are_not_confirmed(self) -> None:
+        """Without a proof nothing runs, whatever the key; public routes do."""
+        for key in ((b'key', b'k1'), (b'key', b'k9'), (b'none', b'')):
+            for public in (False, True):
+                fixture = _with_accounts(ANSWERED, public=public)
+                fixture.has_current_keys = False
+                response = await _serve(fixture, key)
+                with self.subTest(key=key, public=public):
+                    self.assertEqual(response.status, 200 if public else 503)
+                    self.assertEqual(len(fixture.pool.sent), public)
+                    if not public:
+                        self.assertIn(b'retry-after', dict(response.headers))
+
+    async def test_challenge(self) -> None:
+        """Only 401 names the scheme, and no answer repeats the key."""
+        fixture = _with_accounts()
+        response = await _serve(fixture, (b'key', b'k-unknown'))
+        self.assertIn((b'challenge', b'key'), response.headers)
+        self.assertNotIn(b'k-unknown', response.body)
+        missing = await fixture.steering.handle(fixture.request('/none/'))
+        self.assertNotIn((b'challenge', b'key'), missing.headers)
+
+    async def test_without_accounts(self) -> None:
+        """Requests and their headers pass as before accounts existed."""
+        fixture = SteeringFixture(ANSWERED)
+        response = await _serve(fixture, _KEY, (b'account', b'mine'))
+        self.assertEqual(response.status, 200)
+        self.assertIn(b'key: k1\r\naccount: mine', fixture.pool.payloads[0])
+
+    async def test_removed_accounts(self) -> None:
+        """Guards against a state whose last account is removed and opens."""
+        fixture = _with_accounts(ANSWERED)
+        fixture.change(
+            3, account_removal('acme', 2), account_removal('other', 2)
+        )
+        for key in (_KEY, (b'none', b'')):
+            self.assertEqual((await _serve(fixture, key)).status, 401)
+        self.assertEqual(fixture.pool.sent, [])
+
+    async def test_headers_at_the_target(self) -> None:
+        """Guards against accounts that clients state, and keys that leak."""
+        forged = ((b'account', b'forged'), _KEY, (b'account', b'forged'))
+        for public, stated in ((False, [b'account: acme']), (True, [])):
+            fixture = _with_accounts(ANSWERED, public=public)
+            await _serve(fixture, *forged)
+            with self.subTest(public=public):
+                self.assertEqual(_accounts_sent(fixture), [stated])
+                self.assertNotIn(b'k1', fixture.pool.payloads[0])
+
+
+class ChangedKeyTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against runs for a key that changes while its request waits."""
+
+    async def test_change_while_connecting(self) -> None:
+        """A change counts that arrives just before the request leaves."""
+        cases: tuple[tuple[str, Sequence[Item], int, list[list[bytes]]], ...]
+        cases = (
+            ('withdrawn', (account_item('acme', 2, 'k2'),), 401, []),
+            ('removed', (account_removal('acme', 2),), 401, []),
+            (
+                'kept',
+                (account_item('acme', 2, 'k1'),),
+                200,
+                [[b'account: acme']],
+            ),
+        )
+        for targets in (1, 3):
+            for name, items, status, sent in cases:
+                with self.subTest(name, targets=targets):
+                    fixture = SteeringFixture(ANSWERED, targets=targets)
+                    fixture.change(2, _ACME, _OTHER)
+                    fixture.pool.when_connected = _Change(fixture, items)
+                    response = await _serve(fixture, _KEY)
+                    self.assertEqual(response.status, status)
+                    self.assertEqual(_accounts_sent(fixture), sent)
+
+    async def test_change_before_a_retry(self) -> None:
+        """The status after a withdrawal tells whether the request ran."""
+        cases: tuple[tuple[Outcome, int], ...] = (
+            (REJECTED, 401),
+            (NOT_SENT, 401),
+            (BROKEN, 502),
+            (FAILED, 500),
+        )
+        for outcome, status in cases:
+            with self.subTest(outcome=outcome):
+                fixture = _with_accounts(outcome, ANSWERED)
+                withdrawn = (account_item('acme', 2, 'k2'),)
+                fixture.pool.when_sent = _Change(fixture, withdrawn)
+                response = await _serve(fixture, _KEY)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(fixture.pool.sent), 1)
+
+    async def test_withheld_request_does_not_blame_the_target(self) -> None:
+        """Guards against targets taken for unreachable for an ended key."""
+        fixture = SteeringFixture(ANSWERED, targets=1)
+        fixture.change(2, _ACME, _OTHER)
+        removed = (account_removal('acme', 2),)
+        fixture.pool.when_connected = _Change(fixture, removed)
+        self.assertEqual((await _serve(fixture, _KEY)).status, 401)
+        self.assertEqual((await _serve(fixture, (b'key', b'k3'))).status, 200)
+
+
+class HomeRegionTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against runs outside the regions of route or account."""
+
+    async def test_common_regions(self) -> None:
+        """Both restrictions hold; without a common region nothing runs."""
+        cases = (
+            ((), (), 200),
+            (('norte',), (), 200),
+            ((), ('norte',), 200),
+            (('norte', 'sul'), ('oeste', 'norte'), 200),
+            (('norte',), ('sul',), 503),
+            ((), ('sul',), 503),
+            (('norte', 'sul'), ('sul',), 503),
+        )
+        for of_route, of_account, status in cases:
+            with self.subTest(of_route=of_route, of_account=of_account):
+                fixture = SteeringFixture(ANSWERED, home_regions=of_route)
+                fixture.change(
+                    2, account_item('acme', 1, 'k1', home_regions=of_account)
+                )
+                response = await _serve(fixture, _KEY)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(fixture.pool.sent), status == 200)
