Steering: look up the account of a request before each attempt

Cause: a request kept the account of its arrival. When its key had moved to another account, or the first accounts were set while it waited, a valid key got 401; a retry ignored home regions set meanwhile. Change: the account is looked up before each attempt; a request that may have run for one account is not sent for another.

--- a/libraries/edge/plantainstand_edge/_access.py
+++ b/libraries/edge/plantainstand_edge/_access.py
@@ -105,9 +105,9 @@
         return self._accounts.requires_keys
 
     def still_allows(self, active: ActiveRequest) -> bool:
-        """Tell whether a request may leave now, as when it was received.
+        """Tell whether a request may leave now, for the account it has.
 
-        A key may have been withdrawn while the request waited.
+        A key may be withdrawn, or move, while the request waits.
         """
         if active.account is None:
             return active.match.route.public or not self.requires_keys
@@ -115,6 +115,23 @@
         known = checked.ok()
         return known is not None and known.name == active.account.name
 
+    def renew(self, active: ActiveRequest) -> AccessDenial | None:
+        """Look up the account of a request before an attempt.
+
+        While a request waits, its key may be withdrawn or move, and the
+        account may change. A request that may have run stays with the account
+        for which it ran.
+        """
+        checked = self.check(active.match, active.metadata.key_digest)
+        if isinstance(checked, Err):
+            return checked.err_value
+        renewed = checked.ok_value
+        name = None if renewed is None else renewed.name
+        if active.may_have_run and name != active.account_name:
+            return AccessDenial.UNKNOWN_KEY
+        active.account = renewed
+        return None
+
     def check(
         self, match: RouteMatch, digest: KeyDigest | None
     ) -> Result[AccountMatch | None, AccessDenial]:
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -235,14 +235,15 @@
 
     async def _serve(self, active: ActiveRequest) -> Response:
         while True:
-            if not self._accounts.access.still_allows(active):
-                return self._respond_withdrawn(active)
+            denial = self._accounts.access.renew(active)
+            if denial is not None:
+                return self._respond_denied(active, denial)
             if not self._ends_before_exit(active):
                 refusal = Refusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
                 return self._respond_without_success(active, refusal)
-            denial = await self._accounts.acquire(active)
-            if denial is not None:
-                return self._respond_limited(active, denial)
+            limited = await self._accounts.acquire(active)
+            if limited is not None:
+                return self._respond_limited(active, limited)
             try:
                 response = await self._attempt(active)
             finally:
@@ -395,14 +396,12 @@
             active.metadata, status, reason, retry_after
         )
 
-    def _respond_withdrawn(self, active: ActiveRequest) -> Response:
-        """Respond to a request whose key ended while it was being served."""
+    def _respond_denied(
+        self, active: ActiveRequest, denial: AccessDenial
+    ) -> Response:
+        """Respond to a request that its account may not run, or not again."""
         if active.may_have_run:
             return self._respond_without_success(active, None)
-        checked = self._accounts.access.check(
-            active.match, active.metadata.key_digest
-        )
-        denial = checked.err() or AccessDenial.UNKNOWN_KEY
         return self._responses.denied(active.metadata, active.match, denial)
 
     def _respond_limited(
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -284,7 +284,9 @@
         changed = [msgspec.structs.replace(item, index=index) for item in items]
         self.view.merge(changed, (), LogIndex(index))
 
-    def request(self, path: str = '/orders/1', *headers: Header) -> Request:
+    def request(
+        self, path: str = '/orders/1', headers: Sequence[Header] = ()
+    ) -> Request:
         """Return a request that has just arrived."""
         return Request(
             b'POST',
--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from itertools import product
 
 from plantainstand_desired import Item
 from plantainstand_http import Response
@@ -22,6 +23,8 @@
 _OTHER = account_item('other', 1, 'k3')
 _KEY = (b'key', b'k1')
 
+_ChangeCase = tuple[str, Sequence[Item], int, list[list[bytes]]]
+
 
 def _with_accounts(*outcomes: Outcome, **options: bool) -> SteeringFixture:
     fixture = SteeringFixture(*outcomes, **options)
@@ -30,7 +33,7 @@
 
 
 async def _serve(fixture: SteeringFixture, *headers: Header) -> Response:
-    return await fixture.steering.handle(fixture.request('/orders/1', *headers))
+    return await fixture.steering.handle(fixture.request('/orders/1', headers))
 
 
 def _accounts_sent(fixture: SteeringFixture) -> list[list[bytes]]:
@@ -74,23 +77,24 @@
             with self.subTest(name):
                 fixture = _with_accounts(ANSWERED, **options)
                 headers = () if key is None else ((b'key', key),)
-                request = fixture.request(path, *headers)
+                request = fixture.request(path, headers)
                 response = await fixture.steering.handle(request)
                 self.assertEqual(response.status, status)
                 self.assertEqual(len(fixture.pool.sent), status == 200)
 
     async def test_keys_that_are_not_confirmed(self) -> None:
         """Without a proof nothing runs, whatever the key; public routes do."""
-        for key in ((b'key', b'k1'), (b'key', b'k9'), (b'none', b'')):
-            for public in (False, True):
+        keys = (_KEY, (b'key', b'k9'), (b'none', b''))
+        for key, public in product(keys, (False, True)):
+            with self.subTest(key=key, public=public):
                 fixture = _with_accounts(ANSWERED, public=public)
                 fixture.has_current_keys = False
                 response = await _serve(fixture, key)
-                with self.subTest(key=key, public=public):
-                    self.assertEqual(response.status, 200 if public else 503)
-                    self.assertEqual(len(fixture.pool.sent), public)
-                    if not public:
-                        self.assertIn(b'retry-after', dict(response.headers))
+                self.assertEqual(response.status, 200 if public else 503)
+                self.assertEqual(len(fixture.pool.sent), public)
+                self.assertEqual(
+                    b'retry-after' in dict(response.headers), not public
+                )
 
     async def test_challenge(self) -> None:
         """Only 401 names the scheme, and no answer repeats the key."""
@@ -134,8 +138,8 @@
 
     async def test_change_while_connecting(self) -> None:
         """A change counts that arrives just before the request leaves."""
-        cases: tuple[tuple[str, Sequence[Item], int, list[list[bytes]]], ...]
-        cases = (
+        moved = account_item('other', 2, 'k3', 'k1')
+        cases: tuple[_ChangeCase, ...] = (
             ('withdrawn', (account_item('acme', 2, 'k2'),), 401, []),
             ('removed', (account_removal('acme', 2),), 401, []),
             (
@@ -144,6 +148,12 @@
                 200,
                 [[b'account: acme']],
             ),
+            (
+                'moved',
+                (account_item('acme', 2, 'k2'), moved),
+                200,
+                [[b'account: other']],
+            ),
         )
         for targets in (1, 3):
             for name, items, status, sent in cases:
@@ -155,6 +165,20 @@
                     self.assertEqual(response.status, status)
                     self.assertEqual(_accounts_sent(fixture), sent)
 
+    async def test_first_account(self) -> None:
+        """Guards against 401 for a key that is set while its request waits."""
+        cases = (
+            (False, _KEY, 200, [[b'account: acme']]),
+            (False, (b'key', b'k9'), 401, []),
+        )
+        for public, key, status, sent in cases:
+            with self.subTest(public=public, key=key):
+                fixture = SteeringFixture(ANSWERED, targets=1, public=public)
+                fixture.pool.when_connected = _Change(fixture, (_ACME,))
+                response = await _serve(fixture, key, (b'account', b'forged'))
+                self.assertEqual(response.status, status)
+                self.assertEqual(_accounts_sent(fixture), sent)
+
     async def test_change_before_a_retry(self) -> None:
         """The status after a withdrawal tells whether the request ran."""
         cases: tuple[tuple[Outcome, int], ...] = (
@@ -172,6 +196,21 @@
                 self.assertEqual(response.status, status)
                 self.assertEqual(len(fixture.pool.sent), 1)
 
+    async def test_move_before_a_retry(self) -> None:
+        """Guards against one request that runs for two accounts."""
+        moved = (account_item('acme', 2), account_item('other', 2, 'k1'))
+        cases: tuple[tuple[Outcome, int, int], ...] = (
+            (REJECTED, 200, 2),
+            (BROKEN, 502, 1),
+        )
+        for outcome, status, sends in cases:
+            with self.subTest(outcome=outcome):
+                fixture = _with_accounts(outcome, ANSWERED)
+                fixture.pool.when_sent = _Change(fixture, moved)
+                response = await _serve(fixture, _KEY)
+                self.assertEqual(response.status, status)
+                self.assertEqual(len(fixture.pool.sent), sends)
+
     async def test_withheld_request_does_not_blame_the_target(self) -> None:
         """Guards against targets taken for unreachable for an ended key."""
         fixture = SteeringFixture(ANSWERED, targets=1)
@@ -205,3 +244,12 @@
                 response = await _serve(fixture, _KEY)
                 self.assertEqual(response.status, status)
                 self.assertEqual(len(fixture.pool.sent), status == 200)
+
+    async def test_regions_that_change_before_a_retry(self) -> None:
+        """A retry keeps to the regions that the account has by then."""
+        fixture = SteeringFixture(REJECTED, ANSWERED)
+        fixture.change(2, _ACME)
+        restricted = account_item('acme', 2, 'k1', home_regions=('sul',))
+        fixture.pool.when_sent = _Change(fixture, (restricted,))
+        self.assertEqual((await _serve(fixture, _KEY)).status, 503)
+        self.assertEqual(len(fixture.pool.sent), 1)
