Steering: encode a request again when the first accounts arrive

Cause: a request is encoded before its connection is made. If the first accounts arrived in between, a request of a public route left with the client's key and an X-Tenant of the client's choice. Change: such an attempt is not sent, and the next one is encoded without these headers. Result: the public case of test_first_account, which fails before.

--- a/libraries/edge/plantainstand_edge/_access.py
+++ b/libraries/edge/plantainstand_edge/_access.py
@@ -107,8 +107,11 @@
     def still_allows(self, active: ActiveRequest) -> bool:
         """Tell whether a request may leave now, for the account it has.
 
-        A key may be withdrawn, or move, while the request waits.
+        A key may be withdrawn, or move, while the request waits. If the first
+        accounts arrive then, it still has the headers of the client.
         """
+        if active.keys_required != self.requires_keys:
+            return False
         if active.account is None:
             return active.match.route.public or not self.requires_keys
         checked = self.check(active.match, active.metadata.key_digest)
--- a/libraries/edge/plantainstand_edge/_active_request.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -27,6 +27,10 @@
     account: AccountMatch | None = None
     """Account that holds the request's key; None if no key is required."""
 
+    keys_required: bool = False
+    """Whether keys were required when the attempt was encoded, so that it has
+    no key and no account of the client's own."""
+
     permit_at: timedelta | None = None
     """Monotonic time at which a run was counted against the account's limit
     for the attempt that is about to be made; None if none was."""
--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -93,6 +93,7 @@
         active.last_expected_wait = choice.expected_wait
         active.last_expected_run = choice.expected_run
         active.tried_targets.add(target)
+        active.keys_required = self._access.requires_keys
         payload = encode_request(
             active.request,
             self._header_codec.target_headers(
--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -166,10 +166,14 @@
                     self.assertEqual(_accounts_sent(fixture), sent)
 
     async def test_first_account(self) -> None:
-        """Guards against 401 for a key that is set while its request waits."""
+        """Guards against 401 for a key that is set while its request waits.
+
+        The headers of the client must be removed then, on public routes too.
+        """
         cases = (
             (False, _KEY, 200, [[b'account: acme']]),
             (False, (b'key', b'k9'), 401, []),
+            (True, _KEY, 200, [[]]),
         )
         for public, key, status, sent in cases:
             with self.subTest(public=public, key=key):
