Steering: print requests being served without their headers

Cause: the generated repr of a request being served shows its headers, and so the key, in any message that prints it or a callback bound to it. Result: test_repr_of_a_request_being_served, which fails before.

--- a/libraries/edge/plantainstand_edge/_active_request.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -14,7 +14,9 @@
 class ActiveRequest:
     """A client's request with the outcomes of its attempts."""
 
-    request: Request
+    request: Request = field(repr=False)
+    """Request as received; its headers hold the key."""
+
     metadata: RequestMetadata
     match: RouteMatch
     service: ServiceId
--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -4,7 +4,9 @@
 from collections.abc import Sequence
 from itertools import product
 
+from plantainstand_core import ServiceId
 from plantainstand_desired import Item
+from plantainstand_edge._active_request import ActiveRequest
 from plantainstand_http import Response
 
 from tests.desired.builders import account_item, account_removal
@@ -12,6 +14,7 @@
     ANSWERED,
     BROKEN,
     FAILED,
+    HEADER_CODEC,
     NOT_SENT,
     REJECTED,
     Header,
@@ -225,6 +228,28 @@
         self.assertEqual((await _serve(fixture, (b'key', b'k3'))).status, 200)
 
 
+class SecrecyTests(unittest.TestCase):
+    """Guards against keys in log lines that print a request being served."""
+
+    def test_repr_of_a_request_being_served(self) -> None:
+        """Its headers, which hold the key, are not printed."""
+        fixture = SteeringFixture()
+        request = fixture.request('/orders/1', (_KEY,))
+        metadata = HEADER_CODEC.read_request_metadata(request)
+        match = fixture.view.match('shop.example', '/orders/1')
+        assert metadata is not None
+        assert match is not None
+        active = ActiveRequest(
+            request,
+            metadata,
+            match,
+            ServiceId('orders'),
+            deadline=request.received_at,
+            objective=request.received_at,
+        )
+        self.assertNotIn('k1', repr(active))
+
+
 class HomeRegionTests(unittest.IsolatedAsyncioTestCase):
     """Guards against runs outside the regions of route or account."""
 
