Control: bound updates by the documents of items, which are no longer sent

Cause: the length of an update was estimated after the documents, from which it is estimated, had been removed: 100 accounts of 200 keys were one frame of 303,610 bytes, where 131,072 is the bound. Change: the estimate is made before. Result: test_accounts_with_many_keys, which fails before.

--- a/libraries/control/plantainstand_control/_publishing.py
+++ b/libraries/control/plantainstand_control/_publishing.py
@@ -92,8 +92,10 @@
         items = []
         size = 0
         while self._waiting and size < UPDATE_BYTES:
-            items.append(self._waiting.popleft().without_document())
-            size += items[-1].size
+            item = self._waiting.popleft()
+            items.append(item.without_document())
+            # The size of an item is estimated from its document.
+            size += item.size
         if not self._waiting:
             self._sent_index = self._target_index
         return DesiredUpdate(
--- a/tests/control/test_large_state.py
+++ b/tests/control/test_large_state.py
@@ -17,9 +17,16 @@
 from plantainstand_desired._items import MAX_TOMBSTONES
 from plantainstand_fleet import DesiredUpdate, decode_fleet_message
 
-from tests.desired.builders import removal, route_item, service_item
+from tests.desired.builders import (
+    account_item,
+    removal,
+    route_item,
+    service_item,
+)
 
 _ROUTES = 2_000
+_ACCOUNTS = 100
+_KEYS = 200
 _MOST_FRAME_BYTES = 2 * UPDATE_BYTES
 _MOST_SNAPSHOT_BYTES = 150 * MAX_TOMBSTONES
 
@@ -77,6 +84,23 @@
         longest = max(map(len, self.link.frames))
         self.assertLess(longest, _MOST_FRAME_BYTES)
 
+    def test_accounts_with_many_keys(self) -> None:
+        """Guards against long updates, and against keys on the links."""
+        keys = [f'key-{number:018}' for number in range(_KEYS)]
+        accounts = (
+            account_item(f'a{each}', 1, *(f'{key}-{each}' for key in keys))
+            for each in range(_ACCOUNTS)
+        )
+        change = ChangeItems(tuple(accounts))
+        self.state.apply(LogIndex(8), encode_command(change))
+        while self.transfer.lacks(LogIndex(8)):
+            self._send(8)
+            self._receive()
+        self.assertEqual(len(self.view.accounts.current), _ACCOUNTS)
+        longest = max(map(len, self.link.frames))
+        self.assertLess(longest, _MOST_FRAME_BYTES)
+        self.assertFalse(any(b'key-0' in frame for frame in self.link.frames))
+
     def test_part_of_the_state_is_not_in_force(self) -> None:
         """Guards against 404 for a route that has not arrived yet."""
         self._send()
