Keys of accounts are used only while the leader has confirmed them

Cause: an entry VM without contact used withdrawn keys for as long as it was cut off; AccessControl took every state for current. Change: while there are accounts and bounds.strictRevoke is set, an entry VM asks one control VM every 500 ms, the next one after 400 ms without an answer. The leader answers after a read barrier that began when it had the question; other control VMs forward. Keys may be used for 4.75 s from the question on, once the desired state has reached the answered index. Without accounts nothing is sent. Five real control nodes answer a question through each of them.

--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -18,6 +18,8 @@
 from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredState, DesiredView
 from plantainstand_fleet import (
+    AccountAnswer,
+    AccountQuestion,
     EntryChanges,
     EntryReport,
     FleetMessage,
@@ -35,6 +37,7 @@
 from plantainstand_telemetry import Metrics
 from result import Err
 
+from plantainstand_control._account_answers import AccountAnswers
 from plantainstand_control._directory import ClientLocation, choose_entry_vms
 from plantainstand_control._entries import EntryRegistry
 from plantainstand_control._limits import LimitExchange
@@ -152,6 +155,9 @@
         self._replicas = ReplicaRunner(
             settings, self._create_state_machine, self._peers
         )
+        self._account_answers = AccountAnswers(
+            lambda: self._replicas, self._peers, lambda: self._state, clock
+        )
         self._poller = ListPoller(
             read_list,
             lambda: self._peers.reader_rank(self._replicas.leader),
@@ -216,7 +222,7 @@
             )
             self._peers.update_links(())
             loop = asyncio.get_running_loop()
-            for work in (self._replicas, self._poller):
+            for work in (self._replicas, self._poller, self._account_answers):
                 stack.callback(loop.create_task(work.run()).cancel)
             supervising = loop.create_task(self._supervise_forever())
             stack.callback(supervising.cancel)
@@ -348,6 +354,8 @@
                 self._peers.record_reported_live(message.controls)
                 if self._limits.record_from_peer(peer.vm, message.limits):
                     self._send_rosters()
+            case AccountQuestion() | AccountAnswer():
+                self._account_answers.receive(link, peer.vm, message, peer.role)
             case _:
                 _log.warning('message of unexpected type', peer=peer.vm)
 
@@ -355,6 +363,7 @@
         self._link_peers.pop(link, None)
         self._entries.remove_link(link)
         self._rosters.forget(link)
+        self._account_answers.forget(link)
 
     def _schedule_publish(self) -> None:
         if not self._publish_scheduled:
--- a/libraries/control/plantainstand_control/_peers.py
+++ b/libraries/control/plantainstand_control/_peers.py
@@ -22,7 +22,8 @@
 _log = structlog.get_logger()
 
 MAX_UNSENT_LOG_BYTES = 1024 * 1024
-"""Unread bytes on a link above which messages of the log are dropped."""
+"""Unread bytes on a link above which messages that are repeated are dropped:
+those of the log, and questions on accounts with their answers."""
 
 MAX_UNSENT_BYTES = 12 * 1024 * 1024
 """Unread bytes on a link above which it is closed: more than the messages of
@@ -68,6 +69,11 @@
         self._control_vms: dict[VmId, ControlVm] = {}
         self._backlogs: set[VmId] = set()
 
+    @property
+    def own(self) -> VmId:
+        """This control VM."""
+        return self._settings.vm
+
     @property
     def peer_ids(self) -> tuple[VmId, ...]:
         """Other control VMs to which a link is open or being opened."""
@@ -156,6 +162,12 @@
         payload = ReplicaMessage(encode_message(message))
         link.send(encode_fleet_message(payload))
 
+    def send_message(self, destination: VmId, message: FleetMessage) -> None:
+        """Send a message that may be lost to one other control VM."""
+        link = self._links.get(destination)
+        if link is not None and link.unsent_bytes <= MAX_UNSENT_LOG_BYTES:
+            link.send(encode_fleet_message(message))
+
     def broadcast(self, message: FleetMessage) -> None:
         """Send a message to all other control VMs."""
         frame = encode_fleet_message(message)
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -1,7 +1,7 @@
 """Links of an entry VM to the control VMs."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,6 +9,7 @@
 from plantainstand_core import Clock, LogIndex, VmId
 from plantainstand_desired import DesiredView, ItemKey
 from plantainstand_fleet import (
+    AccountAnswer,
     ControlVm,
     DesiredUpdate,
     EntryReport,
@@ -24,6 +25,7 @@
 from plantainstand_placement import TargetTable
 from result import Err
 
+from plantainstand_edge._account_questions import AccountQuestions
 from plantainstand_edge._control_choice import (
     MAX_CONTROL_LINKS,
     order_control_vms,
@@ -52,6 +54,7 @@
     target_table: TargetTable
     fleet_view: FleetView
     target_limits: TargetLimits
+    account_questions: AccountQuestions
 
 
 class ControlLinks:
@@ -78,9 +81,13 @@
         self._listed: dict[VmId, set[ItemKey]] = {}
 
     @property
-    def connected_count(self) -> int:
-        """Number of connected control VMs."""
-        return sum(link.is_open for link in self._links.values())
+    def open_links(self) -> Mapping[VmId, OutgoingLink]:
+        """Links to connected control VMs, in the order of their ids."""
+        return {
+            vm: self._links[vm]
+            for vm in sorted(self._links)
+            if self._links[vm].is_open
+        }
 
     def replace_seeds(self, seeds: Collection[VmId]) -> None:
         """Replace the configured control VMs and adjust the links."""
@@ -172,6 +179,7 @@
         )
         link.send(encode_fleet_message(hello))
         link.send(self._report_frame())
+        self._state.account_questions.link_opened(vm, link.send)
         _log.info('control VM connected', control=vm, desired_index=index)
 
     def _closed(self, vm: VmId) -> None:
@@ -181,7 +189,8 @@
         self._listed.pop(vm, None)
         self._state.target_table.remove_source(vm)
         self._state.fleet_view.remove_source(vm)
-        _log.info('control VM lost', control=vm, connected=self.connected_count)
+        self._state.account_questions.link_closed(vm)
+        _log.info('control VM lost', control=vm, connected=len(self.open_links))
 
     def _received(self, vm: VmId, link: Link, frame: bytes) -> None:
         decoded = decode_fleet_message(frame)
@@ -202,6 +211,8 @@
                 self._on_change()
             case Roster() as roster:
                 self._apply_roster(vm, roster)
+            case AccountAnswer() as answer:
+                self._state.account_questions.receive(answer)
             case _:
                 _log.warning('unexpected message', control=vm)
 
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -21,11 +21,7 @@
 from plantainstand_placement import RetryBudgetShare, TargetTable
 from plantainstand_telemetry import Metrics
 
-from plantainstand_edge._access import (
-    AccessControl,
-    AccountChecks,
-    UnlimitedPermits,
-)
+from plantainstand_edge._account_contact import connect_accounts
 from plantainstand_edge._control_links import (
     REPORT_INTERVAL,
     ControlLinks,
@@ -92,6 +88,9 @@
             'Targets that want nothing from this VM for a while.'
         ),
         'plantainstand_entry_desired_index': 'Log index of the desired state.',
+        'plantainstand_entry_key_proof_age_seconds': (
+            'Time since the newest question that proves the keys was sent.'
+        ),
         'plantainstand_entry_body_bytes': 'Request bodies held, in bytes.',
         'plantainstand_entry_client_pauses': (
             'Pauses in reading clients that send small pieces.'
@@ -134,7 +133,7 @@
             clock,
         )
         self._evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
-        access = AccessControl(self._desired_view.accounts, lambda: True)
+        self._accounts = connect_accounts(settings, self._desired_view, clock)
         inputs = SteeringInputs(
             self._desired_view,
             self._target_table,
@@ -143,7 +142,7 @@
             self._fleet_view,
             self._target_limits,
             self._probes,
-            AccountChecks(access, UnlimitedPermits(clock)),
+            self._accounts.checks,
             self._metrics,
         )
         self._steering = RequestSteering(settings, inputs, header_codec, clock)
@@ -163,6 +162,7 @@
                 self._target_table,
                 self._fleet_view,
                 self._target_limits,
+                self._accounts.questions,
             ),
             clock,
             self._handle_change,
@@ -192,8 +192,11 @@
             await self._listen(stack)
             self._links.replace_seeds(self._settings.seeds)
             loop = asyncio.get_running_loop()
-            reporting = loop.create_task(self._report_forever())
-            stack.callback(reporting.cancel)
+            asking = self._accounts.questions.run(
+                lambda: self._links.open_links
+            )
+            for work in (self._report_forever(), asking):
+                stack.callback(loop.create_task(work).cancel)
             _log.info(
                 'entry VM started',
                 vm=self._settings.vm,
@@ -264,6 +267,7 @@
         if self.is_ready != self._reported_ready:
             # The directory sends clients here only after this report.
             self._report()
+        self._accounts.questions.check()
         self._apply_desired()
 
     def _apply_desired(self) -> None:
@@ -301,7 +305,7 @@
         age = self._target_table.age(now)
         readings = {
             'connections_opened': self._pool.opened_count,
-            'controls': self._links.connected_count,
+            'controls': len(self._links.open_links),
             'list_age_seconds': age.total_seconds(),
             'leaving_targets': self._target_limits.stated.leaving_count,
             'paused_targets': self._target_table.paused_count(now),
@@ -310,6 +314,7 @@
             'body_bytes': self._server.buffered_body_bytes,
             'client_pauses': self._server.pause_count,
             'target_pauses': self._pool.pause_count,
+            **self._accounts.readings(now),
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -17,8 +17,17 @@
     SystemClock,
     VmId,
 )
-from plantainstand_desired import ChangeItems, Item, Verdict
+from plantainstand_desired import (
+    ChangeItems,
+    ClientAccount,
+    Item,
+    ItemKind,
+    Verdict,
+    Version,
+)
 from plantainstand_fleet import (
+    AccountAnswer,
+    AccountQuestion,
     DesiredUpdate,
     Hello,
     VmRole,
@@ -41,6 +50,7 @@
 _SEEDS = tuple(VmId(f'127.0.7.{number}') for number in (1, 2, 3))
 _ALL = (*_SEEDS, VmId('127.0.7.4'), VmId('127.0.7.5'))
 _CHANGE = ChangeItems((service_item(), route_item('shop', 5)))
+_ACCOUNT = ClientAccount(())
 _MANY_ROUTES = 350
 """Routes that one ``big_config`` of the users' sites adds."""
 
@@ -102,6 +112,59 @@
         self.assertTrue(sizes)
         self.assertLess(sum(sizes), _MOST_UPDATE_BYTES)
 
+    async def test_questions_on_accounts(self) -> None:
+        """The leader answers what any control VM is asked.
+
+        Guards against a question or an answer that is lost between control
+        VMs, whose links carry messages in one direction each.
+        """
+        nodes = [self._start(vm) for vm in _ALL]
+        await self._until(lambda: self._voters(nodes[0]) == set(_ALL))
+        await self._execute_change(
+            nodes,
+            ChangeItems(
+                (Item(ItemKind.ACCOUNT, 'acme', Version(1), _ACCOUNT),)
+            ),
+        )
+        answers: dict[VmId, AccountAnswer] = {}
+        for number, vm in enumerate(_ALL):
+            self._ask(vm, number, answers)
+        await self._until(lambda: len(answers) == len(_ALL))
+        index = nodes[0]._state.accounts_index
+        self.assertGreater(index, 0)
+        for number, vm in enumerate(_ALL):
+            expected = AccountAnswer(
+                number, answers[vm].term, index, incarnation=9
+            )
+            self.assertEqual(answers[vm], expected)
+
+    def _ask(
+        self, vm: VmId, number: int, answers: dict[VmId, AccountAnswer]
+    ) -> None:
+        """Connect as one of several entry VMs, and ask a question."""
+
+        def receive(_link: Link, frame: bytes) -> None:
+            answer = decode_fleet_message(frame).ok()
+            if isinstance(answer, AccountAnswer):
+                answers[vm] = answer
+
+        def send(link: Link) -> None:
+            hello = Hello(
+                VmRole.ENTRY,
+                VmId(f'entry-{number}'),
+                AvailabilityZoneId('region-1-a'),
+                RegionId('region-1'),
+                0,
+            )
+            for message in (hello, AccountQuestion(number, 9)):
+                link.send(encode_fleet_message(message))
+
+        callbacks = LinkCallbacks(send, receive, lambda _link: None)
+        address = f'{vm}:{_LINK_PORT}'
+        link = OutgoingLink(address, callbacks, SystemClock(), LinkTimings())
+        running = asyncio.create_task(link.run())
+        self.stack.push_async_callback(_cancel, running)
+
     def _connect_entry(self, vm: VmId, sizes: list[int]) -> None:
         """Connect as an entry VM; note the bytes of the desired state."""
 
