--- /dev/null
+++ b/libraries/allotments/plantainstand_allotments/_books.py
@@ -0,0 +1,153 @@
+"""Sums over all VMs of one account, and what one VM has of it."""
+
+import math
+from collections import deque
+from typing import Final
+
+from plantainstand_fleet import Allotment
+
+from plantainstand_allotments._terms import (
+    AccountLimit,
+    AllotmentTerms,
+    window_total,
+)
+
+_MARGIN_NUMERATOR: Final = 3
+_MARGIN_DENOMINATOR: Final = 10
+"""A VM gets three tenths more than it needs, and one run more."""
+
+_MARGIN_PART: Final = 8
+"""A margin takes at most one part in so many of what is free, so that requests
+at VMs without a margin find something. Taking a margin back lasts up to two
+questions, which is longer than a request waits."""
+
+_GOLDEN_FRACTION = 0.6180339887498949
+_PENDING_LIMIT: Final = 8
+
+
+class Holding:
+    """What one VM may have of one account."""
+
+    __slots__ = ('_pending', 'demand', 'given', 'renewable', 'reserved')
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.reserved = 0
+        """Upper bound on the VM's runs in any window until it reports again."""
+
+        self.renewable = 0
+        """Part of it that was reserved before the newest report too."""
+
+        self.demand = 0
+        self.given: Allotment | None = None
+        """Allotment of the newest answer."""
+
+        self._pending: deque[tuple[int, int]] = deque()
+        # Numbers and amounts of answers that the VM may still apply, with
+        # falling amounts: a smaller amount of an earlier answer is covered by
+        # a later one.
+
+    def outstanding(self, applied: int) -> int:
+        """Return the largest amount that the VM may still apply.
+
+        ``applied`` is the newest answer that it has applied; it ignores all
+        before.
+        """
+        pending = self._pending
+        while pending and pending[0][0] <= applied:
+            pending.popleft()
+        return pending[0][1] if pending else 0
+
+    def give(self, number: int, allotment: Allotment) -> None:
+        """Record the answer to a question."""
+        self.given = allotment
+        amount = allotment.amount
+        pending = self._pending
+        while pending and pending[-1][1] <= amount:
+            pending.pop()
+        if len(pending) == _PENDING_LIMIT:
+            # Keeps the larger amount for longer, which is safe.
+            amount = pending.pop()[1]
+        pending.append((number, amount))
+
+
+class AccountBook:
+    """Sums over the VMs that use one account."""
+
+    __slots__ = (
+        '_limit',
+        '_position',
+        '_total',
+        'demand_sum',
+        'holding_count',
+        'lost_sum',
+        'reserved_sum',
+    )
+
+    def __init__(self, position: int) -> None:
+        """Start without VMs; ``position`` differs between accounts."""
+        self._limit: AccountLimit | None = None
+        self._position = position
+        self._total = 0
+        self.holding_count = 0
+        self.reserved_sum = 0
+        """Reserved for VMs that report."""
+
+        self.lost_sum = 0
+        """Reserved for VMs that no longer report."""
+
+        self.demand_sum = 0
+        """Demand of VMs that report."""
+
+    def use_limit(self, limit: AccountLimit, terms: AllotmentTerms) -> None:
+        """Compute the total of the current limit."""
+        if limit != self._limit:
+            self._limit = limit
+            self._total = window_total(limit, terms)
+
+    def change(self, holding: Holding, reserved: int, demand: int) -> None:
+        """Change what is reserved for a VM that reports, and its demand."""
+        self.reserved_sum += reserved - holding.reserved
+        self.demand_sum += demand - holding.demand
+        holding.reserved = reserved
+        holding.demand = demand
+
+    @property
+    def free(self) -> int:
+        """What no VM may have; negative after the limit was lowered."""
+        return self._total - self.lost_sum - self.reserved_sum
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether VMs that report want more than there is."""
+        return self.demand_sum > self._total - self.lost_sum
+
+    def wanted(self, holding: Holding, vm_position: int) -> int:
+        """Return what a VM should get of what there is."""
+        need = holding.demand
+        free = self.free
+        if self.is_overloaded:
+            available = max(0, self._total - self.lost_sum)
+            share = need * available / self.demand_sum
+            if free >= 0:
+                # Offsets that are spread evenly over the VMs make the sum of
+                # the rounded shares equal that of the shares.
+                share += self._rounding_offset(vm_position)
+            return min(need, int(share))
+        beyond_need = free + holding.reserved - need
+        if beyond_need <= 0:
+            return need
+        margin = -(-need * _MARGIN_NUMERATOR // _MARGIN_DENOMINATOR) + 1
+        return need + min(margin, beyond_need // _MARGIN_PART)
+
+    def renewed(self, allotment: int) -> int:
+        """Return what to renew while the sums are incomplete."""
+        if self.reserved_sum <= self._total:
+            return allotment
+        return allotment * self._total // self.reserved_sum
+
+    def _rounding_offset(self, vm_position: int) -> float:
+        fraction, _whole = math.modf(
+            (vm_position + self._position) * _GOLDEN_FRACTION
+        )
+        return fraction
