Allotments: less lies unused near and above the limit

Cause: with shares below one run at each VM, most of the allotments lay unused while other VMs rejected requests, and margins left too little for an account near its limit. Change: questions name the requests that wait, answers say that the limit is scarce, and VMs then return what they do not need before the next question; margins leave an eighth of the total. Both are new last fields of the messages.

--- a/libraries/allotments/plantainstand_allotments/_books.py
+++ b/libraries/allotments/plantainstand_allotments/_books.py
@@ -7,6 +7,7 @@
 from plantainstand_fleet import Allotment
 
 from plantainstand_allotments._terms import (
+    NEAR_DEMAND_PART,
     AccountLimit,
     AllotmentTerms,
     window_total,
@@ -21,6 +22,16 @@
 at VMs without a margin find something. Taking a margin back lasts up to two
 questions, which is longer than a request waits."""
 
+_SCARCE_PART: Final = 8
+"""No margins are given from the last part in so many of the total. Runs that
+leave a window are free only after the next question, so that an account near
+its limit needs some room."""
+
+_RESERVE: Final = 4
+"""Runs that only VMs below their share get, when VMs want more than there is.
+The others use what is free beyond it, since a share below one run would be
+unused most of the time."""
+
 _GOLDEN_FRACTION = 0.6180339887498949
 _PENDING_LIMIT: Final = 8
 
@@ -28,7 +39,14 @@
 class Holding:
     """What one VM may have of one account."""
 
-    __slots__ = ('_pending', 'demand', 'given', 'renewable', 'reserved')
+    __slots__ = (
+        '_pending',
+        'demand',
+        'given',
+        'renewable',
+        'reserved',
+        'waiting',
+    )
 
     def __init__(self) -> None:
         """Start with nothing."""
@@ -39,6 +57,8 @@
         """Part of it that was reserved before the newest report too."""
 
         self.demand = 0
+        self.waiting = 0
+        """Requests that wait for the next answer."""
         self.given: Allotment | None = None
         """Allotment of the newest answer."""
 
@@ -120,21 +140,15 @@
     @property
     def is_overloaded(self) -> bool:
         """Whether VMs that report want more than there is."""
-        return self.demand_sum > self._total - self.lost_sum
+        return self.demand_sum > self._available
 
     def wanted(self, holding: Holding, vm_position: int) -> int:
         """Return what a VM should get of what there is."""
-        need = holding.demand
-        free = self.free
         if self.is_overloaded:
-            available = max(0, self._total - self.lost_sum)
-            share = need * available / self.demand_sum
-            if free >= 0:
-                # Offsets that are spread evenly over the VMs make the sum of
-                # the rounded shares equal that of the shares.
-                share += self._rounding_offset(vm_position)
-            return min(need, int(share))
-        beyond_need = free + holding.reserved - need
+            return self._share(holding, vm_position)
+        need = holding.demand
+        beyond_need = self.free + holding.reserved - need
+        beyond_need -= self._total // _SCARCE_PART
         if beyond_need <= 0:
             return need
         margin = -(-need * _MARGIN_NUMERATOR // _MARGIN_DENOMINATOR) + 1
@@ -146,6 +160,35 @@
             return allotment
         return allotment * self._total // self.reserved_sum
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether VMs should return what they do not use."""
+        return self.is_overloaded or self.free < self._total // _SCARCE_PART
+
+    @property
+    def _available(self) -> int:
+        """Total for VMs that report."""
+        return max(0, self._total - self.lost_sum)
+
+    def _share(self, holding: Holding, vm_position: int) -> int:
+        """Return a part in proportion to demand.
+
+        It is limited to what the VM can use before it asks again, so that
+        nothing lies unused while others want more.
+        """
+        need = holding.demand
+        share = need * self._available / self.demand_sum
+        free = self.free
+        if free >= 0:
+            # Offsets that are spread evenly over the VMs make the sum of the
+            # rounded shares equal that of the shares.
+            share += self._rounding_offset(vm_position)
+        part = int(share)
+        if free > _RESERVE:
+            part = max(part, holding.reserved + free - _RESERVE)
+        soon = max(holding.waiting, need // NEAR_DEMAND_PART)
+        return min(need, part, holding.reserved + soon)
+
     def _rounding_offset(self, vm_position: int) -> float:
         fraction, _whole = math.modf(
             (vm_position + self._position) * _GOLDEN_FRACTION
--- a/libraries/allotments/plantainstand_allotments/_holder.py
+++ b/libraries/allotments/plantainstand_allotments/_holder.py
@@ -149,6 +149,7 @@
                 amount = min(amount, usage.allotment)
             usage.allotment = amount
             usage.is_exhausted = given is not None and given.is_exhausted
+            usage.is_scarce = given is not None and given.is_scarce
 
     def _drop_allotments(self, now: timedelta) -> None:
         for usage in self._usages.values():
@@ -166,9 +167,16 @@
             if usage.is_idle(now) and not run_count:
                 idle.append(account)
                 continue
-            committed = max(usage.allotment, run_count)
+            if usage.return_unused(demand):
+                self._fence.changed_at = now
             uses.append(
-                AllotmentUse(account, usage.allotment, committed, demand)
+                AllotmentUse(
+                    account=account,
+                    allotment=usage.allotment,
+                    committed=max(usage.allotment, run_count),
+                    demand=demand,
+                    waiting=usage.waiting_count,
+                )
             )
         for forgotten in idle:
             if self._usages.pop(forgotten).allotment:
--- a/libraries/allotments/plantainstand_allotments/_ledger.py
+++ b/libraries/allotments/plantainstand_allotments/_ledger.py
@@ -37,6 +37,7 @@
         # A process keeps what was reserved for it before, as far as it still
         # has it, even if the limit was lowered.
         holding.renewable = min(holding.reserved, reserved)
+        holding.waiting = use.waiting
         self._books[use.account].change(holding, reserved, use.demand)
 
     def record_unused(
@@ -67,12 +68,14 @@
         holding = record.holdings[use.account]
         ceiling = max(holding.renewable, holding.reserved + book.free)
         amount = min(book.wanted(holding, record.position), ceiling)
-        is_exhausted = book.is_overloaded and amount < use.demand
-        return self._give(
-            record,
-            question.number,
-            Allotment(use.account, max(0, amount), is_exhausted),
+        before = holding.reserved
+        allotment = Allotment(
+            account=use.account,
+            amount=max(0, amount),
+            is_exhausted=book.is_overloaded and book.free + before <= amount,
+            is_scarce=book.is_scarce,
         )
+        return self._give(record, question.number, allotment)
 
     def renew(
         self,
--- a/libraries/allotments/plantainstand_allotments/_terms.py
+++ b/libraries/allotments/plantainstand_allotments/_terms.py
@@ -19,6 +19,11 @@
 """Factor on periods of other VMs that the authority waits for. Clocks differ in
 rate by up to 2 %."""
 
+NEAR_DEMAND_PART = 20
+"""While an account is over its limit, a VM keeps the part of a window's demand
+that it uses in half the time between two questions. Simulated fleets of 300 VMs
+let 4 % less through with a tenth."""
+
 SEASONED_NUMBER = 1 << 20
 """Questions have numbers from this one on once a process has run for a whole
 window. A process with a lower number may have replaced another one whose runs
--- a/libraries/allotments/plantainstand_allotments/_usage.py
+++ b/libraries/allotments/plantainstand_allotments/_usage.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Final
 
+from plantainstand_allotments._terms import NEAR_DEMAND_PART
 from plantainstand_allotments._windows import CountWindow, RunWindow
 
 _WAIT_LIMIT = timedelta(milliseconds=250)
@@ -27,6 +28,7 @@
         '_window',
         'allotment',
         'is_exhausted',
+        'is_scarce',
         'requested_at',
         'runs',
         'waiting_count',
@@ -36,6 +38,7 @@
         """Start without an allotment."""
         self.allotment = 0
         self.is_exhausted = False
+        self.is_scarce = False
         self.requested_at = now
         self.runs = RunWindow(window)
         self.waiting_count = 0
@@ -81,6 +84,17 @@
         count = self.runs.prune(now) + self._rejections.count(now)
         return count + self.waiting_count
 
+    def return_unused(self, demand: int) -> bool:
+        """Lower the allotment to what is used until the next question.
+
+        Only if other VMs need the difference. Return whether it was lowered.
+        """
+        used = len(self.runs.times) + demand // NEAR_DEMAND_PART
+        if not self.is_scarce or self.allotment <= used:
+            return False
+        self.allotment = used
+        return True
+
     def is_idle(self, now: timedelta) -> bool:
         """Tell whether there were no requests for a long time."""
         return now - self.requested_at > self._window * _IDLE_WINDOW_COUNT
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -192,6 +192,9 @@
     demand: int
     """Runs and rejections in the newest window."""
 
+    waiting: int = 0
+    """Requests that wait for the answer."""
+
 
 class AccountQuestion(_Message, frozen=True):
     """Asks the leader for the newest change of accounts and for allotments."""
@@ -220,6 +223,10 @@
     is_exhausted: bool = False
     """Whether nothing more of the limit is free now."""
 
+    is_scarce: bool = False
+    """Whether VMs want more than the limit, so that unused parts of allotments
+    are to be returned."""
+
 
 class AccountAnswer(_Message, frozen=True):
     """The leader's answer to an :class:`AccountQuestion`."""
--- /dev/null
+++ b/tests/allotments/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plantainstand_allotments."""
