Allotments: tests of holder, authority and simulated fleets

Change: simulation without a network (loss, delays, freezes, restarts, deposed leaders, clocks) and directed tests of each rule; an authority without predecessor raises at once; a process counts as long-running after a window and the margin for clocks.

--- a/libraries/allotments/plantainstand_allotments/_authority.py
+++ b/libraries/allotments/plantainstand_allotments/_authority.py
@@ -21,11 +21,21 @@
     reported and of all amounts in answers that it may still apply.
     """
 
-    def __init__(self, terms: AllotmentTerms, elected_at: timedelta) -> None:
-        """Start a term without knowledge of the terms before."""
+    def __init__(
+        self,
+        terms: AllotmentTerms,
+        elected_at: timedelta,
+        *,
+        has_predecessor: bool = True,
+    ) -> None:
+        """Start a term without knowledge of the terms before.
+
+        ``has_predecessor`` is False only if no account with a limit can have
+        existed before the term, so that no allotments of earlier terms exist.
+        """
         self._periods = Periods(terms.holder_window)
         self._elected_at = elected_at
-        self._is_settled = False
+        self._is_settled = not has_predecessor
         self._ledger = Ledger(terms)
         self._processes = ProcessTable(self._periods)
 
--- a/libraries/allotments/plantainstand_allotments/_holder.py
+++ b/libraries/allotments/plantainstand_allotments/_holder.py
@@ -8,6 +8,7 @@
 
 from plantainstand_allotments._terms import (
     ANSWER_AGE_LIMIT,
+    CLOCK_MARGIN,
     LEASE,
     SEASONED_NUMBER,
     AllotmentTerms,
@@ -189,7 +190,7 @@
 
     def __init__(self, window: timedelta) -> None:
         self.applied = 0
-        self._window = window
+        self._seasoning = window * CLOCK_MARGIN
         self._started_at: timedelta | None = None
         self._number = 0
         self._sent: dict[int, timedelta] = {}
@@ -199,7 +200,7 @@
         if self._started_at is None:
             self._started_at = now
         self._number += 1
-        if now - self._started_at >= self._window:
+        if now - self._started_at >= self._seasoning:
             self._number = max(self._number, SEASONED_NUMBER)
         sent = self._sent
         expired = now - ANSWER_AGE_LIMIT
--- /dev/null
+++ b/tests/allotments/test_authority.py
@@ -0,0 +1,168 @@
+"""Tests of the leader's side."""
+
+import unittest
+
+from plantainstand_allotments import (
+    AccountLimit,
+    AllotmentAuthority,
+    window_total,
+)
+
+from tests.allotments.builders import (
+    ACCOUNT,
+    LIMITS,
+    TERMS,
+    TOTAL,
+    VMS,
+    Exchange,
+    allotted,
+    at,
+    settled_authority,
+)
+from tests.allotments.world import TERMS as TOLERANT_TERMS
+
+
+class ReservationTests(unittest.TestCase):
+    """What stays reserved for a VM."""
+
+    def setUp(self) -> None:
+        """Give one VM the whole limit."""
+        self.authority = settled_authority()
+        self.first = Exchange(VMS[0])
+        self.second = Exchange(VMS[1])
+        self.first.request(TOTAL, 0)
+        self.assertEqual(self.first.renew(self.authority, 0), TOTAL)
+        self.assertEqual(self.first.request(TOTAL, 0.1), TOTAL)
+
+    def test_total(self) -> None:
+        """The total would leave no tolerance for delays."""
+        limit = AccountLimit(requests_per_second=1.6, burst=1.6)
+        self.assertEqual(window_total(limit, TOLERANT_TERMS), 20)
+        self.assertEqual(window_total(LIMITS[ACCOUNT], TERMS), TOTAL)
+
+    def test_runs_in_the_window(self) -> None:
+        """Runs that are still in the window would be given to another VM."""
+        for when, run_count in ((1, TOTAL), (5.3, TOTAL), (5.4, 0)):
+            self.setUp()
+            kept = self.first.renew(self.authority, when)
+            self.second.request(TOTAL, when)
+            with self.subTest(when=when):
+                amount = self.second.renew(self.authority, when + 0.01)
+                self.assertEqual(amount, TOTAL - max(kept, run_count))
+
+    def test_answer_under_way(self) -> None:
+        """An answer that arrives after the VM's next question left would be
+        applied although its amount was given to another VM."""
+        self.first.renew(self.authority, 5.4)
+        self.first.request(TOTAL, 5.4)
+        late = self.first.answer(self.authority, self.first.ask(5.4), 5.4)
+        for when in (5.8, 6.3):
+            question = self.first.ask(when)
+            self.first.answer(self.authority, question, when)
+        self.second.request(TOTAL, 6.4)
+        amount = self.second.renew(self.authority, 6.4)
+        self.assertTrue(self.first.holder.apply(late, at(6.5)))
+        self.assertLessEqual(amount + self.first.request(TOTAL, 6.5), TOTAL)
+
+    def test_late_question(self) -> None:
+        """A question that was overtaken would replace a newer report."""
+        late = self.first.ask(1)
+        self.first.renew(self.authority, 5.4)
+        self.first.renew(self.authority, 5.5)
+        before = self.first.renew(self.authority, 5.6)
+        answer = self.first.answer(self.authority, late, 5.7)
+        self.assertEqual(allotted(answer), before)
+        self.second.request(TOTAL, 5.8)
+        amount = self.second.renew(self.authority, 5.8)
+        self.assertEqual(amount, TOTAL - before)
+
+    def test_lost_and_restarted_vms(self) -> None:
+        """What a VM had would be given to others while it, or its runs, can
+        still count; or never again."""
+        restarted = Exchange(VMS[0], incarnation=2)
+        for is_restarted, kept_until in ((False, 10.2), (True, 6.2)):
+            self.setUp()
+            if is_restarted:
+                restarted.renew(self.authority, 1)
+            with self.subTest(is_restarted=is_restarted):
+                self.second.request(TOTAL, kept_until)
+                amount = self.second.renew(self.authority, kept_until)
+                self.assertEqual(amount, 0)
+                freed = kept_until + 0.8
+                self.second.request(TOTAL, freed)
+                amount = self.second.renew(self.authority, freed)
+                self.assertEqual(amount, TOTAL)
+
+    def test_memory(self) -> None:
+        """Records of VMs and accounts that are gone would pile up."""
+        for number in range(50):
+            Exchange(VMS[0], incarnation=number + 2).renew(self.authority, 1)
+        self.second.renew(self.authority, 30)
+        # Private members: memory is no part of the interface.
+        self.assertFalse(self.authority._ledger._books)
+        self.assertEqual(len(self.authority._processes._live), 1)
+        self.assertFalse(self.authority._processes._superseded)
+
+
+class ElectionTests(unittest.TestCase):
+    """What a leader gives that does not know what was given before."""
+
+    def setUp(self) -> None:
+        """Have the old leader give one VM half of the limit."""
+        self.old = settled_authority()
+        self.new = AllotmentAuthority(TERMS, at(60))
+        self.first = Exchange(VMS[0])
+        self.second = Exchange(VMS[1])
+        self.first.request(TOTAL // 2, 49)
+        for when in (49, 59, 59.9):
+            self.first.renew(self.old, when)
+            self.first.request(TOTAL // 2, when)
+            self.second.renew(self.old, when)
+
+    def test_renewal(self) -> None:
+        """Requests below the limit would be rejected after an election."""
+        question = self.first.ask(60)
+        before = question.uses[0].allotment
+        self.assertGreater(before, 1)
+        answer = self.first.answer(self.new, question, 60, term=2)
+        self.assertEqual(allotted(answer), before)
+
+    def test_raises_wait_two_seconds(self) -> None:
+        """An answer of the old leader may raise an allotment until then."""
+        for when, is_raised in ((60, 0), (60.5, 0), (61.9, 0), (62.2, 1)):
+            self.first.renew(self.new, when, term=2)
+            self.second.request(2, when)
+            amount = self.second.renew(self.new, when, term=2)
+            with self.subTest(when=when):
+                self.assertEqual(bool(amount), bool(is_raised))
+
+    def test_report_before_a_raise_of_the_old_leader(self) -> None:
+        """The report was sent before the VM applied that raise."""
+        self.first.request(TOTAL, 59.95)
+        raised = self.first.answer(self.old, self.first.ask(60), 60)
+        stale = self.first.ask(60.1)
+        self.assertTrue(self.first.holder.apply(raised, at(60.2)))
+        for when in (60.3, 60.8, 61.3, 61.8, 62.3):
+            self.second.renew(self.new, when, term=2)
+        self.first.answer(self.new, stale, 62.4, term=2)
+        self.second.request(TOTAL, 62.5)
+        amount = self.second.renew(self.new, 62.5, term=2)
+        self.assertEqual(amount, 0)
+
+    def test_counted_vm_that_does_not_report(self) -> None:
+        """Its lease and its runs would be given to others; or never."""
+        for when, is_raised in ((60, 0), (62.5, 0), (70.2, 0), (70.8, 1)):
+            self.second.request(TOTAL, when)
+            amount = self.second.renew(self.new, when, term=2)
+            with self.subTest(when=when):
+                self.assertEqual(bool(amount), bool(is_raised))
+
+    def test_vm_that_restarted_before_its_first_report(self) -> None:
+        """Nobody reports the runs of its process before."""
+        restarted = Exchange(VMS[0], incarnation=2)
+        for when, is_raised in ((60.1, 0), (62.5, 0), (65.5, 0), (65.7, 1)):
+            restarted.renew(self.new, when, term=2)
+            self.second.request(TOTAL, when)
+            amount = self.second.renew(self.new, when, term=2)
+            with self.subTest(when=when):
+                self.assertEqual(bool(amount), bool(is_raised))
--- a/tests/allotments/world.py
+++ b/tests/allotments/world.py
@@ -74,7 +74,7 @@
         seed: int,
     ) -> None:
         """Create a fleet whose first leader was elected long ago."""
-        self.now = 0.0
+        self.now: float = 0
         self.limits = dict(limits)
         self.runs: defaultdict[AccountName, list[float]] = defaultdict(list)
         self.outcomes: Counter[tuple[AccountName, UseOutcome]] = Counter()
@@ -99,8 +99,9 @@
     def run_until(self, end: float) -> None:
         """Let time pass."""
         while self._events[0][0] <= end:
-            self.now, _number, action = heapq.heappop(self._events)
-            action()
+            event = heapq.heappop(self._events)
+            self.now = event[0]
+            event[2]()
         self.now = end
 
     def add_faults(self, end: float) -> None:
