--- a/tests/allotments/test_authority.py
+++ b/tests/allotments/test_authority.py
@@ -1,5 +1,6 @@
 """Tests of the leader's side."""
 
+import copy
 import unittest
 
 from plantainstand_allotments import (
@@ -7,6 +8,7 @@
     AllotmentAuthority,
     window_total,
 )
+from plantainstand_fleet import AccountQuestion, AllotmentUse
 
 from tests.allotments.builders import (
     ACCOUNT,
@@ -50,19 +52,28 @@
                 amount = self.second.renew(self.authority, when + 0.01)
                 self.assertEqual(amount, TOTAL - max(kept, run_count))
 
-    def test_answer_under_way(self) -> None:
+    def test_answers_under_way(self) -> None:
         """An answer that arrives after the VM's next question left would be
         applied although its amount was given to another VM."""
-        self.first.renew(self.authority, 5.4)
-        self.first.request(TOTAL, 5.4)
-        late = self.first.answer(self.authority, self.first.ask(5.4), 5.4)
-        for when in (5.8, 6.3):
-            question = self.first.ask(when)
-            self.first.answer(self.authority, question, when)
-        self.second.request(TOTAL, 6.4)
-        amount = self.second.renew(self.authority, 6.4)
-        self.assertTrue(self.first.holder.apply(late, at(6.5)))
-        self.assertLessEqual(amount + self.first.request(TOTAL, 6.5), TOTAL)
+        authority = settled_authority()
+        wanted = AllotmentUse(ACCOUNT, 0, 0, demand=12, waiting=12)
+        given = AllotmentUse(ACCOUNT, 12, 12, demand=12)
+        greedy = AllotmentUse(ACCOUNT, 0, 0, demand=TOTAL, waiting=TOTAL)
+        unused = AllotmentUse(ACCOUNT, 0, 0, demand=0)
+        cases = (
+            (AccountQuestion(1, 1, 0, (wanted,)), 8),
+            (AccountQuestion(2, 1, 0, (unused,)), 8),
+            (AccountQuestion(3, 1, 0), 8),
+            (AccountQuestion(4, 1, 1, (given,)), 8),
+            (AccountQuestion(5, 1, 4), TOTAL),
+        )
+        for question, free in cases:
+            authority.answer(VMS[0], question, LIMITS, VMS, at(0))
+            probe = AccountQuestion(question.number, 1, 0, (greedy,))
+            probed = copy.deepcopy(authority)
+            amounts = probed.answer(VMS[1], probe, LIMITS, VMS, at(0))
+            with self.subTest(question=question):
+                self.assertEqual(amounts[0].amount, free)
 
     def test_late_question(self) -> None:
         """A question that was overtaken would replace a newer report."""
@@ -97,7 +108,10 @@
         """Records of VMs and accounts that are gone would pile up."""
         for number in range(50):
             Exchange(VMS[0], incarnation=number + 2).renew(self.authority, 1)
-        self.second.renew(self.authority, 30)
+        self.second.request(1, 29)
+        self.second.renew(self.authority, 29)
+        for when in range(30, 64, 2):
+            self.second.renew(self.authority, when)
         # Private members: memory is no part of the interface.
         self.assertFalse(self.authority._ledger._books)
         self.assertEqual(len(self.authority._processes._live), 1)
@@ -127,6 +141,17 @@
         answer = self.first.answer(self.new, question, 60, term=2)
         self.assertEqual(allotted(answer), before)
 
+    def test_renewal_is_never_raised(self) -> None:
+        """A question that left before a smaller amount was applied would bring
+        the larger one back."""
+        lowered = {ACCOUNT: AccountLimit(1, burst=0)}
+        use = AllotmentUse(ACCOUNT, 10, 10, demand=10)
+        for number, limits in enumerate((lowered, LIMITS)):
+            question = AccountQuestion(number + 1, 1, 0, (use,))
+            allotments = self.new.answer(VMS[0], question, limits, VMS, at(60))
+            with self.subTest(number=number):
+                self.assertEqual(allotments[0].amount, 5)
+
     def test_raises_wait_two_seconds(self) -> None:
         """An answer of the old leader may raise an allotment until then."""
         for when, is_raised in ((60, 0), (60.5, 0), (61.9, 0), (62.2, 1)):
@@ -142,11 +167,11 @@
         raised = self.first.answer(self.old, self.first.ask(60), 60)
         stale = self.first.ask(60.1)
         self.assertTrue(self.first.holder.apply(raised, at(60.2)))
-        for when in (60.3, 60.8, 61.3, 61.8, 62.3):
+        for when in (60.3, 60.8, 61.3, 61.8):
             self.second.renew(self.new, when, term=2)
-        self.first.answer(self.new, stale, 62.4, term=2)
-        self.second.request(TOTAL, 62.5)
-        amount = self.second.renew(self.new, 62.5, term=2)
+        self.first.answer(self.new, stale, 62, term=2)
+        self.second.request(TOTAL, 62.2)
+        amount = self.second.renew(self.new, 62.2, term=2)
         self.assertEqual(amount, 0)
 
     def test_counted_vm_that_does_not_report(self) -> None:
