--- a/bench/plantainstand_bench/__main__.py
+++ b/bench/plantainstand_bench/__main__.py
@@ -33,6 +33,10 @@
     return 1 if broken else 0
 
 
+def _run_allotments(_options: argparse.Namespace) -> Figures:
+    return _call('_allotment_benchmark', 'measure_allotments')
+
+
 def _parts() -> Mapping[str, Callable[[argparse.Namespace], Figures]]:
     """Return the parts; a module is loaded only when its part is run."""
 
@@ -74,6 +78,7 @@
         'log': run_log,
         'recovery': run_recovery,
         'shares': run_shares,
+        'allotments': _run_allotments,
         'policies': run_policies,
         'membership': run_membership,
         'capacity': run_capacity,
