Limits of accounts are enforced over all entry VMs

Cause: rates and bursts of accounts were decoded and used by nothing. Change: entry VMs count runs against allotments, which the question on accounts asks for; a request that finds none asks at once and waits up to 200 ms. The leader answers with one authority for each term, which learns from the control VMs which entry VMs may have leases of earlier leaders. Accounts without a limit cost no message. Urgent questions double their interval from 50 to 200 ms while answers are of no use.

--- a/libraries/allotments/plantainstand_allotments/__init__.py
+++ b/libraries/allotments/plantainstand_allotments/__init__.py
@@ -3,6 +3,8 @@
 from plantainstand_allotments._authority import AllotmentAuthority
 from plantainstand_allotments._holder import AllotmentHolder, UseOutcome
 from plantainstand_allotments._terms import (
+    CLOCK_MARGIN,
+    LEASE,
     AccountLimit,
     AllotmentTerms,
     window_total,
@@ -13,6 +15,8 @@
     'AllotmentAuthority',
     'AllotmentHolder',
     'AllotmentTerms',
+    'CLOCK_MARGIN',
+    'LEASE',
     'UseOutcome',
     'window_total',
 )
--- a/libraries/control/plantainstand_control/_account_answers.py
+++ b/libraries/control/plantainstand_control/_account_answers.py
@@ -24,6 +24,7 @@
 from plantainstand_links import Link
 from result import Err
 
+from plantainstand_control._account_allotments import AccountAllotments
 from plantainstand_control._peers import Peers
 from plantainstand_control._replica import ReplicaRunner
 
@@ -61,12 +62,14 @@
         replicas: Callable[[], ReplicaRunner],
         peers: Peers,
         state: Callable[[], DesiredState],
+        allotments: AccountAllotments,
         clock: Clock,
     ):
         """``state`` returns the state that the running replica applies to."""
         self._replicas = replicas
         self._peers = peers
         self._state = state
+        self._allotments = allotments
         self._clock = clock
         self._waiting: dict[VmId, _Waiting] = {}
         self._arrived = asyncio.Event()
@@ -154,6 +157,8 @@
         self._record_problem('')
         for waiting in batch:
             self._answer(waiting, state, term)
+            # Allotments of many accounts take time that other work needs.
+            await asyncio.sleep(0)
 
     def _answer(
         self, waiting: _Waiting, state: DesiredState, term: int
@@ -163,6 +168,7 @@
             question.number,
             term,
             state.accounts_index,
+            self._allotments.answer(question, state, term),
             vm=question.vm,
             incarnation=question.incarnation,
         )
@@ -191,7 +197,5 @@
 
 
 def _is_older(question: AccountQuestion, known: AccountQuestion) -> bool:
-    return (
-        question.incarnation == known.incarnation
-        and question.number < known.number
-    )
+    known_place = (known.incarnation, known.number)
+    return (question.incarnation, question.number) < known_place
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -37,6 +37,7 @@
 from plantainstand_telemetry import Metrics
 from result import Err
 
+from plantainstand_control._account_allotments import AccountAllotments
 from plantainstand_control._account_answers import AccountAnswers
 from plantainstand_control._directory import ClientLocation, choose_entry_vms
 from plantainstand_control._entries import EntryRegistry
@@ -155,8 +156,15 @@
         self._replicas = ReplicaRunner(
             settings, self._create_state_machine, self._peers
         )
+        self._allotments = AccountAllotments(
+            settings.account_terms, clock, knows_all=settings.bootstrap
+        )
         self._account_answers = AccountAnswers(
-            lambda: self._replicas, self._peers, lambda: self._state, clock
+            lambda: self._replicas,
+            self._peers,
+            lambda: self._state,
+            self._allotments,
+            clock,
         )
         self._poller = ListPoller(
             read_list,
@@ -292,6 +300,7 @@
                 if peer.role is VmRole.ENTRY
             }
         )
+        self._allotments.record_vms(self._rosters.counted_vms)
 
     def _handle_frame(self, link: Link, frame: bytes) -> None:
         decoded = decode_fleet_message(frame)
--- a/libraries/control/plantainstand_control/_settings.py
+++ b/libraries/control/plantainstand_control/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from plantainstand_allotments import AllotmentTerms
 from plantainstand_core import AvailabilityZoneId, RegionId, VmId
 
 
@@ -38,3 +39,6 @@
 
     disk_bytes: int = 256_000_000
     """Disk that the data folder may take."""
+
+    account_terms: AllotmentTerms | None = None
+    """How the limits of accounts are enforced; None if they are not."""
--- a/libraries/desired/plantainstand_desired/_account_view.py
+++ b/libraries/desired/plantainstand_desired/_account_view.py
@@ -31,6 +31,7 @@
         """Start without accounts."""
         self._items: dict[AccountName, Item] = {}
         self._match_by_key: dict[KeyDigest, AccountMatch] | None = {}
+        self._limited: set[AccountName] = set()
         self._requires_keys = False
 
     @property
@@ -50,6 +51,15 @@
             if isinstance(item.body, ClientAccount)
         }
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether an account has a limit."""
+        return bool(self._limited)
+
+    def has_limit(self, name: AccountName) -> bool:
+        """Tell whether an account has a limit."""
+        return name in self._limited
+
     def find_by_key(self, digest: KeyDigest) -> AccountMatch | None:
         """Return the account that holds a key, if there is one."""
         if self._match_by_key is None:
@@ -65,6 +75,10 @@
         }
         if accounts:
             self._items.update(accounts)
+            for name, item in accounts.items():
+                self._limited.discard(name)
+                if isinstance(item.body, ClientAccount) and item.body.has_limit:
+                    self._limited.add(name)
             self._requires_keys = True
             self._match_by_key = None
 
--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -122,6 +122,11 @@
     home_regions: tuple[RegionId, ...] = ()
     """Regions that may serve the requests; if empty, all may."""
 
+    @property
+    def has_limit(self) -> bool:
+        """Whether the number of its requests is limited."""
+        return self.requests_per_second > 0 or self.burst > 0
+
 
 ItemBody = Route | ServicePolicy | IngressLimits | ClientAccount
 
--- a/libraries/edge/plantainstand_edge/_account_contact.py
+++ b/libraries/edge/plantainstand_edge/_account_contact.py
@@ -1,10 +1,10 @@
 """What an entry VM learns from the leader on accounts."""
 
-import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
+from plantainstand_allotments import AllotmentHolder
 from plantainstand_core import Clock
 from plantainstand_desired import DesiredView
 
@@ -13,6 +13,7 @@
     AccountChecks,
     UnlimitedPermits,
 )
+from plantainstand_edge._account_limits import AccountLimits
 from plantainstand_edge._account_questions import (
     AccountQuestions,
     KeyQuestions,
@@ -20,7 +21,7 @@
 from plantainstand_edge._key_proofs import KeyProofs
 from plantainstand_edge._settings import EntrySettings
 
-_INCARNATION_BITS = 32
+_MILLISECONDS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,30 +31,54 @@
     checks: AccountChecks
     questions: AccountQuestions
     proofs: KeyProofs
+    limits: AccountLimits | None
+
+    def check(self, now: timedelta) -> None:
+        """Log changes; call it about twice a second."""
+        if self.limits is not None:
+            self.limits.check(now)
 
     def readings(self, now: timedelta) -> Mapping[str, float]:
         """Return the gauges of this VM on accounts."""
         age = timedelta()
         if self.proofs.is_required and self.checks.access.requires_keys:
             age = self.proofs.age(now)
-        return {'key_proof_age_seconds': age.total_seconds()}
+        exhausted = 0 if self.limits is None else self.limits.exhausted_count
+        return {
+            'key_proof_age_seconds': age.total_seconds(),
+            'exhausted_accounts': exhausted,
+        }
 
 
 def connect_accounts(
     settings: EntrySettings, view: DesiredView, clock: Clock
 ) -> AccountContact:
     """Build the checks that the settings of a VM require."""
-    incarnation = secrets.randbits(_INCARNATION_BITS)
+    # Larger than that of each process before, which the leader relies on.
+    incarnation = int(clock.wall().timestamp() * _MILLISECONDS)
+    accounts = view.accounts
     proofs = KeyProofs(settings.key_withdrawal_limit, view, clock.monotonic())
+    holder = None
+    if settings.account_terms is not None:
+        holder = AllotmentHolder(settings.account_terms, incarnation)
+
+    def is_needed() -> bool:
+        if holder is not None and accounts.has_limits:
+            return True
+        return proofs.is_required and accounts.requires_keys
+
     questions = AccountQuestions(
-        KeyQuestions(incarnation),
+        holder or KeyQuestions(incarnation),
         incarnation,
         proofs,
-        lambda: proofs.is_required and view.accounts.requires_keys,
+        is_needed,
         clock,
     )
+    limits = None
+    if holder is not None:
+        limits = AccountLimits(holder, questions, accounts, clock)
     access = AccessControl(
-        view.accounts, lambda: proofs.is_current(clock.monotonic())
+        accounts, lambda: proofs.is_current(clock.monotonic())
     )
-    checks = AccountChecks(access, UnlimitedPermits(clock))
-    return AccountContact(checks, questions, proofs)
+    checks = AccountChecks(access, limits or UnlimitedPermits(clock))
+    return AccountContact(checks, questions, proofs, limits)
--- a/libraries/edge/plantainstand_edge/_account_questions.py
+++ b/libraries/edge/plantainstand_edge/_account_questions.py
@@ -31,6 +31,11 @@
 MIN_QUESTION_INTERVAL = timedelta(milliseconds=50)
 """Shortest interval of questions that requests wait for."""
 
+MAX_URGENT_INTERVAL = timedelta(milliseconds=200)
+"""Interval to which that one is doubled while answers are of no use. With 87
+accounts, questions and answers every 50 ms would take a quarter of a link of
+2 Mbit/s."""
+
 
 class QuestionSource(Protocol):
     """Numbers the questions, and takes their answers."""
@@ -94,6 +99,7 @@
         self._asked_at = timedelta.min
         self._silent_since: timedelta | None = None
         self._is_urgent = False
+        self._urgent_interval = MIN_QUESTION_INTERVAL
         self._was_current: bool | None = None
 
     async def run(self, open_links: OpenLinks) -> None:
@@ -117,9 +123,12 @@
         self._is_urgent = True
         self._wake.set()
 
-    async def wait_for_answer(self) -> None:
-        """Wait until an answer of use arrives."""
-        await self._answered.wait()
+    async def wait_for_answer(self, time_limit: timedelta) -> bool:
+        """Wait for an answer of use; return whether one has arrived."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(time_limit.total_seconds()):
+                return await self._answered.wait()
+        return False
 
     def link_opened(self, control: VmId, send: Callable[[bytes], None]) -> None:
         """Ask on a new link."""
@@ -165,10 +174,15 @@
         if self._silent_since is not None:
             due = min(due, self._silent_since + ANSWER_TIMEOUT)
         if self._is_urgent:
-            due = min(due, self._asked_at + MIN_QUESTION_INTERVAL)
+            due = min(due, self._asked_at + self._urgent_interval)
         return due
 
     def _ask(self, links: Mapping[VmId, QuestionLink], now: timedelta) -> None:
+        if self._is_urgent:
+            doubled = self._urgent_interval * 2
+            self._urgent_interval = min(doubled, MAX_URGENT_INTERVAL)
+        else:
+            self._urgent_interval = MIN_QUESTION_INTERVAL
         self._is_urgent = False
         self._choose(tuple(links), now)
         if self._control is None:
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -91,6 +91,9 @@
         'plantainstand_entry_key_proof_age_seconds': (
             'Time since the newest question that proves the keys was sent.'
         ),
+        'plantainstand_entry_exhausted_accounts': (
+            'Accounts that have reached their limits at this VM.'
+        ),
         'plantainstand_entry_body_bytes': 'Request bodies held, in bytes.',
         'plantainstand_entry_client_pauses': (
             'Pauses in reading clients that send small pieces.'
@@ -219,6 +222,7 @@
     async def _report_forever(self) -> None:
         while True:
             self._fleet_view.check()
+            self._accounts.check(self._clock.monotonic())
             self._report()
             self._pool.close_expired()
             await asyncio.sleep(REPORT_INTERVAL.total_seconds())
--- a/libraries/edge/plantainstand_edge/_settings.py
+++ b/libraries/edge/plantainstand_edge/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from plantainstand_allotments import AllotmentTerms
 from plantainstand_core import AvailabilityZoneId, RegionId, VmId
 from plantainstand_placement import ColdTargetLimits, RetryBudgetLimits
 
@@ -40,3 +41,6 @@
     key_withdrawal_limit: timedelta | None = None
     """Longest time for which a VM without contact may use a key that was
     withdrawn; None for no limit."""
+
+    account_terms: AllotmentTerms | None = None
+    """How the limits of accounts are enforced; None if they are not."""
--- /dev/null
+++ b/tests/control/test_account_allotments.py
@@ -0,0 +1,124 @@
+"""Guards what a leader takes over from the leaders before it."""
+
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any, cast
+
+from plantainstand_allotments import AllotmentTerms
+from plantainstand_control._account_allotments import (
+    RECORD_SLACK,
+    AccountAllotments,
+)
+from plantainstand_control._sharing import RETENTION
+from plantainstand_core import LogIndex, ManualClock, VmId
+from plantainstand_desired import (
+    AccountName,
+    ClientAccount,
+    Item,
+    ItemKind,
+    Version,
+)
+from plantainstand_fleet import AccountQuestion, AllotmentUse
+
+_TERMS = AllotmentTerms(timedelta(seconds=5), 0, 0)
+_TICK = timedelta(milliseconds=500)
+_ANSWERS_END = timedelta(seconds=2.1)
+_LEASES_END = timedelta(seconds=(5 + 5.25) * 1.05)
+_OWN = VmId('e1')
+_OTHER = VmId('e2')
+
+
+class AccountAllotmentTests(unittest.TestCase):
+    """An allotment that another VM may still use breaks a limit."""
+
+    def setUp(self) -> None:
+        """Start a leader that knows one entry VM."""
+        self.clock = ManualClock()
+        self.state = _state(limit=10)
+        self.number = 0
+        self._start(knows_all=True)
+
+    def test_all_vms_have_reported(self) -> None:
+        """Allotments rise once answers of the leader before are ignored."""
+        raised_after = self._time_until_raised({_OWN})
+        self.assertGreaterEqual(raised_after, _ANSWERS_END)
+        self.assertLess(raised_after, _LEASES_END - _TICK)
+
+    def test_vm_that_does_not_report(self) -> None:
+        """Nothing rises until its lease has ended."""
+        raised_after = self._time_until_raised({_OWN, _OTHER})
+        self.assertGreaterEqual(raised_after, _LEASES_END)
+
+    def test_vm_that_was_dropped_before_the_election(self) -> None:
+        """It may have a lease longer than the registry counts it."""
+        self.allotments.record_vms({_OTHER})
+        self.clock.advance(RECORD_SLACK)
+        self.allotments.record_vms(())
+        self.assertIn(_OTHER, self._counted_vms())
+        self.clock.advance(_LEASES_END - RETENTION)
+        self.allotments.record_vms(())
+        self.assertEqual(self._counted_vms(), [])
+
+    def test_control_vm_that_has_just_started(self) -> None:
+        """It does not know which VMs have leases."""
+        self._start(knows_all=False)
+        raised_after = self._time_until_raised({_OWN})
+        self.assertGreaterEqual(raised_after, _LEASES_END)
+
+    def test_next_term(self) -> None:
+        """A leader that leads again does not go on with its old sums."""
+        self._time_until_raised({_OWN})
+        self.assertGreater(self._ask(term=1), 0)
+        self.assertEqual(self._ask(term=3), 0)
+
+    def test_changed_limits(self) -> None:
+        """A limit that was changed or removed counts from then on."""
+        self._time_until_raised({_OWN})
+        self.state = _state(limit=1, index=9)
+        self.assertLessEqual(self._ask(term=1), 10)
+        self.state = _state(limit=0, index=10)
+        self.assertEqual(self._ask(term=1), 0)
+
+    def test_without_terms(self) -> None:
+        """Nothing is allotted where no limits are enforced."""
+        self.allotments = AccountAllotments(None, self.clock, knows_all=True)
+        self.assertEqual(self._ask(term=1), 0)
+
+    def _start(self, *, knows_all: bool) -> None:
+        self.allotments = AccountAllotments(
+            _TERMS, self.clock, knows_all=knows_all
+        )
+
+    def _counted_vms(self) -> list[VmId]:
+        return list(self.allotments._counted_vms(self.clock.monotonic()))
+
+    def _time_until_raised(self, counted: set[VmId]) -> timedelta:
+        """Ask twice a second; return when an allotment came."""
+        # The process of the entry VM has run for more than a window.
+        self.number = 1 << 20
+        began_at = self.clock.monotonic()
+        self.allotments.record_vms(counted)
+        while not self._ask(term=1):
+            self.assertLess(self.clock.monotonic() - began_at, 2 * _LEASES_END)
+            self.clock.advance(_TICK)
+            self.allotments.record_vms(counted)
+        return self.clock.monotonic() - began_at
+
+    def _ask(self, term: int) -> int:
+        self.number += 1
+        use = AllotmentUse(AccountName('acme'), 0, 0, 5)
+        question = AccountQuestion(
+            self.number, 1, self.number - 1, (use,), _OWN
+        )
+        allotments = self.allotments.answer(question, self.state, term)
+        return sum(each.amount for each in allotments)
+
+
+def _state(limit: float, index: int = 1) -> Any:
+    account = ClientAccount((), requests_per_second=limit)
+    item = Item(ItemKind.ACCOUNT, 'acme', Version(1), account)
+    return cast(
+        Any,
+        SimpleNamespace(accounts_index=LogIndex(index), current_items=(item,)),
+    )
--- a/tests/control/test_account_answers.py
+++ b/tests/control/test_account_answers.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 from unittest.mock import patch
 
+from plantainstand_control._account_allotments import AccountAllotments
 from plantainstand_control._account_answers import AccountAnswers
 from plantainstand_core import LogIndex, VmId
 from plantainstand_fleet import (
@@ -58,6 +59,7 @@
             cast(Any, lambda: self),
             cast(Any, self),
             cast(Any, lambda: self.state),
+            AccountAllotments(None, clock, knows_all=True),
             clock,
         )
         self.running = asyncio.create_task(self.answers.run())
