--- a/libraries/desired/plantainstand_desired/_items.py
+++ b/libraries/desired/plantainstand_desired/_items.py
@@ -130,6 +130,11 @@
             f' burst={self.burst}, home_regions={self.home_regions})'
         )
 
+    @property
+    def has_limit(self) -> bool:
+        """Whether the number of its requests is limited."""
+        return self.requests_per_second > 0 or self.burst > 0
+
 
 ItemBody = Route | ServicePolicy | IngressLimits | ClientAccount
 
