Tests: counted runs, log lines and ranks of accounts at the entry VM

Covers which attempts stay counted against an account's limit, that a run counts when it leaves, that log lines name the account but no key or digest, and that the account's priority goes before the route's.

--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import cast
+from typing import Any, cast
 
 import msgspec
 from plantainstand_core import (
@@ -32,6 +32,7 @@
 from plantainstand_edge._access import (
     AccessControl,
     AccountChecks,
+    RunPermits,
     UnlimitedPermits,
 )
 from plantainstand_edge._fleet_view import FleetView
@@ -216,8 +217,8 @@
         targets: int = 3,
         routes: bool = True,
         pool: object | None = None,
-        public: bool = False,
-        home_regions: tuple[str, ...] = (),
+        permits: RunPermits | None = None,
+        **route_fields: Any,
     ):
         self.clock = ManualClock()
         self.has_current_keys = True
@@ -229,8 +230,7 @@
             body,
             idempotent=idempotent,
             max_attempts=max_attempts,
-            public=public,
-            home_regions=tuple(RegionId(region) for region in home_regions),
+            **route_fields,
         )
         view = DesiredView()
         self.view = view
@@ -271,7 +271,7 @@
             ),
             AccountChecks(
                 AccessControl(view.accounts, lambda: self.has_current_keys),
-                UnlimitedPermits(self.clock),
+                permits or UnlimitedPermits(self.clock),
             ),
             metrics,
         )
--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -1,13 +1,20 @@
 """Guards which requests run, and for which account, by their keys."""
 
+import asyncio
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from datetime import timedelta
 from itertools import product
+from typing import Any
 
-from plantainstand_core import ServiceId
-from plantainstand_desired import Item
+import structlog
+from plantainstand_core import Clock, ManualClock, ServiceId
+from plantainstand_desired import AccountName, Item, digest_key
+from plantainstand_edge._access import PermitDenial
 from plantainstand_edge._active_request import ActiveRequest
 from plantainstand_http import Response
+from result import Ok, Result
+from structlog.testing import capture_logs
 
 from tests.desired.builders import account_item, account_removal
 from tests.edge.builders import (
@@ -15,8 +22,10 @@
     BROKEN,
     FAILED,
     HEADER_CODEC,
+    MISDIRECTED,
     NOT_SENT,
     REJECTED,
+    TIMED_OUT,
     Header,
     Outcome,
     SteeringFixture,
@@ -26,10 +35,11 @@
 _OTHER = account_item('other', 1, 'k3')
 _KEY = (b'key', b'k1')
 
+_FirstCase = tuple[bool, Header, int, list[list[bytes]]]
 _ChangeCase = tuple[str, Sequence[Item], int, list[list[bytes]]]
 
 
-def _with_accounts(*outcomes: Outcome, **options: bool) -> SteeringFixture:
+def _with_accounts(*outcomes: Outcome, **options: Any) -> SteeringFixture:
     fixture = SteeringFixture(*outcomes, **options)
     fixture.change(2, _ACME, _OTHER)
     return fixture
@@ -173,7 +183,7 @@
 
         The headers of the client must be removed then, on public routes too.
         """
-        cases = (
+        cases: tuple[_FirstCase, ...] = (
             (False, _KEY, 200, [[b'account: acme']]),
             (False, (b'key', b'k9'), 401, []),
             (True, _KEY, 200, [[]]),
@@ -228,6 +238,150 @@
         self.assertEqual((await _serve(fixture, (b'key', b'k3'))).status, 200)
 
 
+class _CountedPermits:
+    """Counts runs as they are acquired and given back."""
+
+    def __init__(self, clock: Clock):
+        self.held: list[timedelta] = []
+        self.clock = clock
+
+    async def acquire(
+        self, _account: AccountName
+    ) -> Result[timedelta, PermitDenial]:
+        """See ``RunPermits.acquire``."""
+        self.held.append(self.clock.monotonic())
+        return Ok(self.held[-1])
+
+    def postpone(
+        self, _account: AccountName, counted_at: timedelta, sent_at: timedelta
+    ) -> None:
+        """See ``RunPermits.postpone``."""
+        self.held.remove(counted_at)
+        self.held.append(sent_at)
+
+    def give_back(self, _account: AccountName, counted_at: timedelta) -> None:
+        """See ``RunPermits.give_back``."""
+        self.held.remove(counted_at)
+
+
+class _SilentPool:
+    """Connections on which no response ever comes."""
+
+    async def exchange(
+        self, *_arguments: object, may_send: Callable[[], bool], **_: object
+    ) -> Outcome:
+        """Send, and wait for ever."""
+        may_send()
+        await asyncio.Event().wait()
+        return BROKEN
+
+
+def _with_permits(
+    *outcomes: Outcome, **options: Any
+) -> tuple[SteeringFixture, _CountedPermits]:
+    permits = _CountedPermits(ManualClock())
+    fixture = SteeringFixture(*outcomes, permits=permits, **options)
+    permits.clock = fixture.clock
+    fixture.change(2, _ACME, _OTHER)
+    return fixture, permits
+
+
+class PermitTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against counted runs that leak, or real ones that are not."""
+
+    async def test_counted_runs(self) -> None:
+        """Each attempt that may have run is counted, and no other."""
+        cases: tuple[tuple[tuple[Outcome, ...], int], ...] = (
+            ((ANSWERED,), 1),
+            ((REJECTED, ANSWERED), 1),
+            ((MISDIRECTED, ANSWERED), 1),
+            ((NOT_SENT, ANSWERED), 1),
+            ((REJECTED, REJECTED), 0),
+            ((NOT_SENT, NOT_SENT, NOT_SENT), 0),
+            ((FAILED, ANSWERED), 2),
+            ((BROKEN, ANSWERED), 2),
+            ((BROKEN, REJECTED), 1),
+            ((TIMED_OUT,), 1),
+        )
+        for outcomes, runs in cases:
+            with self.subTest(outcomes=outcomes):
+                fixture, permits = _with_permits(*outcomes)
+                await _serve(fixture, _KEY)
+                self.assertEqual(len(permits.held), runs)
+
+    async def test_requests_that_do_not_leave(self) -> None:
+        """No run is counted if there is no target, or the key has ended."""
+        fixture, permits = _with_permits(targets=0)
+        await _serve(fixture, _KEY)
+        self.assertEqual(permits.held, [])
+        fixture, permits = _with_permits(ANSWERED)
+        removed = (account_removal('acme', 2),)
+        fixture.pool.when_connected = _Change(fixture, removed)
+        await _serve(fixture, _KEY)
+        self.assertEqual(permits.held, [])
+
+    async def test_client_that_leaves(self) -> None:
+        """A run that is under way stays counted when its client leaves."""
+        fixture, permits = _with_permits(pool=_SilentPool())
+        serving = asyncio.ensure_future(_serve(fixture, _KEY))
+        await asyncio.sleep(0)
+        serving.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await serving
+        self.assertEqual(len(permits.held), 1)
+
+    async def test_run_counts_when_it_leaves(self) -> None:
+        """Guards against runs of two windows that leave in one."""
+        fixture, permits = _with_permits(ANSWERED, targets=1)
+        decided_at = fixture.clock.monotonic()
+        fixture.pool.connect_time = timedelta(milliseconds=300)
+        await _serve(fixture, _KEY)
+        left_at = decided_at + timedelta(milliseconds=300)
+        self.assertEqual(permits.held, [left_at])
+        fixture, permits = _with_permits(REJECTED, targets=1)
+        fixture.pool.connect_time = timedelta(milliseconds=300)
+        await _serve(fixture, _KEY)
+        self.assertEqual(permits.held, [])
+
+    async def test_public_routes(self) -> None:
+        """A public route counts for no account, whatever key is stated."""
+        fixture, permits = _with_permits(ANSWERED, public=True)
+        await _serve(fixture, _KEY)
+        self.assertEqual(permits.held, [])
+
+
+class LogTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against keys in log lines, and lines without the account."""
+
+    def setUp(self) -> None:
+        """Let log lines through, which the tests otherwise drop."""
+        former = structlog.get_config()['wrapper_class']
+        self.addCleanup(structlog.configure, wrapper_class=former)
+        structlog.configure(wrapper_class=structlog.stdlib.BoundLogger)
+
+    async def test_log_lines(self) -> None:
+        """Lines name the account, and contain neither key nor digest."""
+        cases = ((b'key', b'k1-secret'), (b'key', b'k9-secret'))
+        for key in cases:
+            fixture = SteeringFixture(BROKEN, ANSWERED)
+            fixture.change(2, account_item('acme', 1, 'k1-secret'))
+            with self.subTest(key=key), capture_logs() as lines:
+                await _serve(fixture, key)
+                self.assertTrue(lines)
+                self.assertNotIn('secret', repr(lines))
+                self.assertNotIn(repr(digest_key(key[1])), repr(lines))
+
+    async def test_rank(self) -> None:
+        """The account's priority goes before the route's, 0 included."""
+        for stated, rank in ((None, 1), (0, 0), (3, 3)):
+            fixture = SteeringFixture(ANSWERED, rank=1)
+            fixture.change(2, account_item('acme', 1, 'k1', rank=stated))
+            with self.subTest(stated), capture_logs() as lines:
+                await _serve(fixture, _KEY)
+                self.assertEqual(lines[-1]['rank'], rank)
+                self.assertEqual(lines[-1]['account'], 'acme')
+
+
 class SecrecyTests(unittest.TestCase):
     """Guards against keys in log lines that print a request being served."""
 
--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -198,9 +198,9 @@
         for name, body in cases.items():
             with self.subTest(name):
                 decoded = decode_patch(body)
-                self.assertIsInstance(decoded, Err)
-                self.assertNotIn('k-3f', decoded.err_value or '')
-                self.assertNotIn('aa90', decoded.err_value or '')
+                assert isinstance(decoded, Err)
+                self.assertNotIn('k-3f', decoded.err_value)
+                self.assertNotIn('aa90', decoded.err_value)
 
     def test_whole_numbers_fit_into_the_log(self) -> None:
         """Guards against a change that is decoded but cannot be encoded."""
