--- a/bench/plantainstand_bench/__main__.py
+++ b/bench/plantainstand_bench/__main__.py
@@ -76,12 +76,17 @@
         'shares': run_shares,
         'policies': run_policies,
         'membership': run_membership,
+        'accounts': _run_accounts,
         'capacity': run_capacity,
         'steering': run_steering,
         'system': run_system,
     }
 
 
+def _run_accounts(_options: argparse.Namespace) -> Figures:
+    return _call('_account_benchmark', 'measure_accounts')
+
+
 def _call(module: str, function: str, *arguments: object) -> Figures:
     figures: Figures = getattr(_load(module), function)(*arguments)
     return figures
