--- a/tests/soak/final_fault.py
+++ b/tests/soak/final_fault.py
@@ -484,7 +484,7 @@
 def _read_problems(play: Play, answer: harness.Answer) -> Sequence[str]:
     if answer.status != 200:
         return (f'status {answer.status} while reading back',)
-    return play.ledger.problems(changes.read_routes(answer.body))
+    return play.ledger.problems(changes.read_items(answer.body))
 
 
 class _Record:
