Desired state: the highest version of an item holds within one change too

Cause: a change that named an item twice took the last one, also if its version was lower, and a resend of such a change could be refused. Change: versions are compared within a change as against what stands; two contents under one version are a conflict. Result: RepeatedNameTests, two cases of which fail before.

--- a/libraries/desired/plantainstand_desired/_state.py
+++ b/libraries/desired/plantainstand_desired/_state.py
@@ -217,13 +217,14 @@
     ) -> ChangeOutcome:
         newer: dict[ItemKey, Item] = {}
         for change in changes:
-            current = self._items.get(change.key)
-            if _is_newer(self._items, change):
+            # A change may name an item twice, for example set and remove it.
+            current = newer.get(change.key, self._items.get(change.key))
+            if current is None or change.version > current.version:
                 newer[change.key] = msgspec.structs.replace(
                     change,
                     index=index,
                 )
-            elif current is not None and _is_conflict(change, current):
+            elif _is_conflict(change, current):
                 return ChangeOutcome(
                     Verdict.CONFLICT,
                     f'{change.kind.value} {change.name} has other content'
--- a/tests/desired/test_accounts.py
+++ b/tests/desired/test_accounts.py
@@ -238,6 +238,51 @@
                 applied.state.restore(applied.state.snapshot())
 
 
+class RepeatedNameTests(unittest.TestCase):
+    """Guards against an older version that wins within one change."""
+
+    def test_account_named_twice(self) -> None:
+        """The highest version holds in either order; equal ones conflict."""
+        cases: tuple[tuple[str, Call, Verdict, set[str]], ...] = (
+            (
+                'set last',
+                (('a', 1, None), ('a', 2, '1')),
+                Verdict.ACCEPTED,
+                {'a'},
+            ),
+            (
+                'set first',
+                (('a', 2, '1'), ('a', 1, None)),
+                Verdict.ACCEPTED,
+                {'a'},
+            ),
+            (
+                'dropped',
+                (('a', 1, '1'), ('a', 2, None)),
+                Verdict.ACCEPTED,
+                set(),
+            ),
+            (
+                'same version',
+                (('a', 1, '1'), ('a', 1, None)),
+                Verdict.CONFLICT,
+                set(),
+            ),
+            (
+                'twice the same',
+                (('a', 1, '1'), ('a', 1, '1')),
+                Verdict.ACCEPTED,
+                {'a'},
+            ),
+        )
+        for name, call, verdict, expected in cases:
+            with self.subTest(name):
+                applied = AppliedCommands()
+                outcome = applied.change(*(_item(*each) for each in call))
+                self.assertIs(outcome.verdict, verdict)
+                self.assertEqual(_names(applied.state), expected)
+
+
 class StateTests(unittest.TestCase):
     """Guards against accounts that are lost or return in the state."""
 
