Replay: loads as parameters, more entry VMs, skewed demand, kept objects, slow machines

Cause: the replay could only play one cold start with nine entry VMs, so placement decisions for objects in demand could not be compared. Change: ReplayedLoad describes targets, VMs, objects, demand over time, delay of responses and slow machines; results by second, by rank and by region of the run. Measured: the existing overload tests pass unchanged.

--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -1,17 +1,18 @@
-"""Simulates an overload of cold targets without sockets.
+"""Simulates loads of a service without sockets.
 
-Fourteen targets with nine slots each serve objects whose first run at a target
-takes several times as long as later ones. At the start every target is cold
-for every object, so the arrivals need twice the slots; once the targets are
-warm, half of the slots suffice.
+By default fourteen targets with nine slots each serve objects whose first run
+at a target takes several times as long as later ones. At the start every target
+is cold for every object, so the arrivals need twice the slots; once the targets
+are warm, half of the slots suffice. ``replayed_load`` has other loads.
 """
 
 import heapq
 import random
-from collections import deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import accumulate
 
 from plantainstand_core import AvailabilityZoneId, RegionId, ServiceId, TargetId
 from plantainstand_fleet import TargetEntry
@@ -30,19 +31,12 @@
     TargetState,
 )
 
+from tests.placement.replayed_load import COLD_START, ReplayedLoad
+
 REGIONS = (RegionId('bajio'), RegionId('norte'), RegionId('occidente'))
-TARGETS_BY_REGION = (2, 6, 6)
-ENTRY_VMS_BY_REGION = 3
-SLOTS_PER_TARGET = 9
 _NO_SHARE = FleetShare(None, {})
-QUEUE_LENGTH = 27
-OBJECTS_BY_REGION = 84
-ARRIVALS_PER_SECOND = 455
-COLD_RUN_TIME = timedelta(milliseconds=480)
-WARM_RUN_TIME = timedelta(milliseconds=144)
-OBJECTIVE = timedelta(milliseconds=400)
-TIMEOUT = timedelta(milliseconds=800)
 ZERO = timedelta()
+_SECOND = timedelta(seconds=1)
 
 ROUTE = 'catalogue'
 
@@ -76,7 +70,10 @@
     arrived: timedelta
     object_key: bytes
     vm: ReplayedVm
+    rank: int = 0
     choice: Choice | None = None
+    sent: timedelta = ZERO
+    tried: set[TargetId] = field(default_factory=set)
     has_ended: bool = False
 
 
@@ -86,7 +83,8 @@
 
     running: int = 0
     waiting: deque[ReplayedRequest] = field(default_factory=deque)
-    warm: set[bytes] = field(default_factory=set)
+    warm: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
+    slowdown: float = 1.0
 
 
 @dataclass
@@ -98,32 +96,101 @@
     late: int = 0
     refused: int = 0
     timed_out: int = 0
+    cold_runs: int = 0
+    arrived_at: Counter[int] = field(default_factory=Counter)
+    """Requests by second of their arrival."""
+
+    in_objective_at: Counter[int] = field(default_factory=Counter)
+    """Requests in the objective by second of their arrival."""
+
+    arrived_of: Counter[int] = field(default_factory=Counter)
+    """Requests by rank."""
+
+    in_objective_of: Counter[int] = field(default_factory=Counter)
+    """Requests in the objective by rank."""
+
+    ran_in: Counter[tuple[RegionId, int, RegionId]] = field(
+        default_factory=Counter
+    )
+    """Requests by region, interval of two seconds and region of the run."""
+
+    def share(self, first: int = 0, end: int | None = None) -> float:
+        """Return the share in the objective of what arrived in a span."""
+        seconds = [
+            second
+            for second in self.arrived_at
+            if second >= first and (end is None or second < end)
+        ]
+        arrived = sum(self.arrived_at[second] for second in seconds)
+        answered = sum(self.in_objective_at[second] for second in seconds)
+        return answered / max(1, arrived)
+
+    def largest_move(self, first: int = 0) -> float:
+        """Return the largest share that changed region between intervals.
+
+        Intervals before the second ``first`` are left out.
+        """
+        last = max(self.arrived_at) // 2
+        return max(
+            self._move(region, interval)
+            for region in REGIONS
+            for interval in range(first // 2, last - 1)
+        )
+
+    def _move(self, region: RegionId, interval: int) -> float:
+        before = self._regions_of(region, interval)
+        after = self._regions_of(region, interval + 1)
+        return sum(
+            max(float(0), after[place] - before[place]) for place in REGIONS
+        )
+
+    def _regions_of(
+        self, region: RegionId, interval: int
+    ) -> dict[RegionId, float]:
+        counts = {
+            place: self.ran_in[region, interval, place] for place in REGIONS
+        }
+        total = max(1, sum(counts.values()))
+        return {place: count / total for place, count in counts.items()}
 
 
 class Replay:
     """Simulates one overload with a function that chooses targets."""
 
-    def __init__(self, choose: ChooseTarget, seed: int):
+    def __init__(
+        self,
+        choose: ChooseTarget,
+        seed: int,
+        load: ReplayedLoad = COLD_START,
+    ):
         self.result = ReplayResult()
+        self._load = load
         self._choose = choose
         self._random = random.Random(seed)  # noqa: S311
-        self._now = timedelta(seconds=1)
+        self._start = timedelta(seconds=1)
+        self._now = self._start
         self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
         self._sequence = 0
-        self._entries = _entries()
+        self._entries = _entries(load)
         self._targets = {
             each.target: ReplayedTarget() for each in self._entries
         }
         self._vms = [
             ReplayedVm(region, _targets(self._entries, self._now))
             for region in REGIONS
-            for _ in range(ENTRY_VMS_BY_REGION)
+            for _ in range(load.vms_by_region)
         ]
+        self._objects = range(load.objects)
+        self._demand = list(
+            accumulate((1 + number) ** -load.skew for number in self._objects)
+        )
 
     def run(self, duration: timedelta) -> ReplayResult:
         """Simulate arrivals for ``duration``; return their outcomes."""
         end = self._now + duration
         self._at(self._now, lambda: self._arrive(end))
+        if self._load.slow is not None:
+            self._at(self._now, lambda: self._draw_slow(end))
         while self._events:
             event = heapq.heappop(self._events)
             self._now = event[0]
@@ -134,31 +201,48 @@
         self._sequence += 1
         heapq.heappush(self._events, (moment, self._sequence, action))
 
+    def _draw_slow(self, end: timedelta) -> None:
+        slow = self._load.slow
+        assert slow is not None
+        for target in self._targets.values():
+            is_slow = self._random.random() < slow.share
+            target.slowdown = slow.factor if is_slow else 1.0
+        if self._now < end:
+            self._at(self._now + slow.period, lambda: self._draw_slow(end))
+
     def _arrive(self, end: timedelta) -> None:
-        pause = self._random.expovariate(ARRIVALS_PER_SECOND)
+        elapsed = (self._now - self._start) / _SECOND
+        pause = self._random.expovariate(self._load.arrivals_at(elapsed))
         following = self._now + timedelta(seconds=pause)
         if following < end:
             self._at(following, lambda: self._arrive(end))
         vm = self._random.choice(self._vms)
-        number = self._random.randrange(OBJECTS_BY_REGION)
+        number = self._random.choices(self._objects, cum_weights=self._demand)
+        group = 'all' if self._load.shared_objects else vm.region
+        ranks = self._load.rank_shares
         request = ReplayedRequest(
             self._now,
-            f'{vm.region}-{number}'.encode(),
+            f'{group}-{number[0]}'.encode(),
             vm,
+            self._random.choices(range(len(ranks)), ranks)[0],
         )
         self.result.arrived += 1
+        self.result.arrived_at[int(elapsed)] += 1
+        self.result.arrived_of[request.rank] += 1
         self._send(request)
 
     def _send(self, request: ReplayedRequest) -> None:
         vm = request.vm
+        spent = self._now - request.arrived
         criteria = PlacementCriteria(
             object_key=request.object_key,
             region=vm.region,
             home_regions=(),
-            objective_left=OBJECTIVE,
-            time_left=TIMEOUT,
+            objective_left=self._load.objective - spent,
+            time_left=self._load.timeout - spent,
             cold_share=ColdRequestShare(0, _NO_SHARE),
             request_limits=RequestLimits(vm.region, _NO_SHARE),
+            tried_targets=frozenset(request.tried),
         )
         estimates = ServiceEstimates(
             self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
@@ -166,36 +250,69 @@
         chosen = self._choose(criteria, vm.targets, estimates)
         if isinstance(chosen, Refusal):
             self.result.refused += 1
+            request.has_ended = True
             return
         request.choice = chosen
+        request.sent = self._now
+        request.tried.add(chosen.state.entry.target)
         chosen.state.record_sent(self._now)
         chosen.state.record_object(request.object_key, responded=False)
         target = self._targets[chosen.state.entry.target]
-        if len(target.waiting) >= QUEUE_LENGTH:
-            chosen.state.record_ended()
-            report = LoadReport(
-                target.running, len(target.waiting), SLOTS_PER_TARGET
-            )
-            chosen.state.forget_object(request.object_key)
-            chosen.state.record_rejection(self._now, report)
-            self.result.refused += 1
+        if len(target.waiting) >= self._load.queue_length:
+            self._reject(target, request)
             return
         target.waiting.append(request)
-        self._at(self._now + TIMEOUT, lambda: self._time_out(request))
+        timeout_at = request.arrived + self._load.timeout
+        self._at(timeout_at, lambda: self._time_out(request, chosen))
         self._start_next(target)
 
+    def _reject(self, target: ReplayedTarget, request: ReplayedRequest) -> None:
+        report = self._report(target)
+
+        def receive() -> None:
+            choice = request.choice
+            assert choice is not None
+            choice.state.record_ended()
+            choice.state.forget_object(request.object_key)
+            choice.state.record_rejection(self._now, report)
+            if len(request.tried) < self._load.max_sends:
+                self._send(request)
+                return
+            self.result.refused += 1
+            request.has_ended = True
+
+        self._at(self._now + self._load.response_delay, receive)
+
+    def _report(self, target: ReplayedTarget) -> LoadReport:
+        return LoadReport(
+            target.running,
+            len(target.waiting),
+            self._load.slots,
+            target.slowdown,
+        )
+
     def _start_next(self, target: ReplayedTarget) -> None:
-        while target.waiting and target.running < SLOTS_PER_TARGET:
+        while target.waiting and target.running < self._load.slots:
             request = target.waiting.popleft()
             if request.has_ended:
                 continue
             target.running += 1
-            warm = request.object_key in target.warm
-            run = WARM_RUN_TIME if warm else COLD_RUN_TIME
-            ends = self._now + run
-            cut_at = request.arrived + TIMEOUT
+            run = self._load.warm_run
+            if request.object_key not in target.warm:
+                self.result.cold_runs += 1
+                run = self._load.cold_run
+            self._record_run(request)
+            ends = self._now + run * target.slowdown
+            cut_at = request.arrived + self._load.timeout
             self._at(min(ends, cut_at), self._ending(target, request, ends))
 
+    def _record_run(self, request: ReplayedRequest) -> None:
+        interval = int((request.arrived - self._start) / _SECOND) // 2
+        choice = request.choice
+        assert choice is not None
+        place = choice.state.entry.region
+        self.result.ran_in[request.vm.region, interval, place] += 1
+
     def _ending(
         self,
         target: ReplayedTarget,
@@ -205,37 +322,50 @@
         def end() -> None:
             target.running -= 1
             if self._now >= ends and not request.has_ended:
-                target.warm.add(request.object_key)
-                self._answer(target, request)
+                self._keep(target, request.object_key)
+                report = self._report(target)
+                self._at(
+                    self._now + self._load.response_delay,
+                    lambda: self._answer(report, request),
+                )
             self._start_next(target)
 
         return end
 
-    def _answer(self, target: ReplayedTarget, request: ReplayedRequest) -> None:
+    def _keep(self, target: ReplayedTarget, object_key: bytes) -> None:
+        target.warm[object_key] = None
+        target.warm.move_to_end(object_key)
+        kept = self._load.kept
+        if kept is not None and len(target.warm) > kept:
+            target.warm.popitem(last=False)
+
+    def _answer(self, report: LoadReport, request: ReplayedRequest) -> None:
+        if request.has_ended:
+            return
         request.has_ended = True
         duration = self._now - request.arrived
-        if duration <= OBJECTIVE:
+        if duration <= self._load.objective:
             self.result.in_objective += 1
+            second = int((request.arrived - self._start) / _SECOND)
+            self.result.in_objective_at[second] += 1
+            self.result.in_objective_of[request.rank] += 1
         else:
             self.result.late += 1
         choice = request.choice
         assert choice is not None
         state = choice.state
         state.record_ended()
-        report = LoadReport(
-            target.running, len(target.waiting), SLOTS_PER_TARGET
-        )
         state.record_response(self._now, report, failed=False)
         state.record_object(request.object_key, responded=True)
-        request.vm.record(choice, duration)
+        request.vm.record(choice, self._now - request.sent)
 
-    def _time_out(self, request: ReplayedRequest) -> None:
-        if request.has_ended or request.choice is None:
+    def _time_out(self, request: ReplayedRequest, choice: Choice) -> None:
+        if request.has_ended:
             return
         request.has_ended = True
         self.result.timed_out += 1
-        request.choice.state.record_ended()
-        request.choice.state.record_failure(self._now)
+        choice.state.record_ended()
+        choice.state.record_failure(self._now)
 
 
 def choose_least_loaded(
@@ -265,7 +395,7 @@
     return ServiceTargets([TargetState(each, now) for each in entries])
 
 
-def _entries() -> list[TargetEntry]:
+def _entries(load: ReplayedLoad) -> list[TargetEntry]:
     return [
         TargetEntry(
             target=TargetId(f'{region}-{number}'),
@@ -273,11 +403,11 @@
             address=f'192.0.2.{number}:80',
             availability_zone=AvailabilityZoneId(f'{region}-a'),
             region=region,
-            slots=SLOTS_PER_TARGET,
+            slots=load.slots,
             draining=False,
             started_ms=0,
             cold_seconds=0,
         )
-        for region, count in zip(REGIONS, TARGETS_BY_REGION, strict=True)
+        for region, count in zip(REGIONS, load.targets_by_region, strict=True)
         for number in range(count)
     ]
