Placement: expected wait and run follow the speed that a target states

Cause: the fourth figure of the load header was decoded and read by no decision, so requests waited for targets that had stated that they work 2.5 times slower.

--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -190,12 +190,14 @@
         familiarity = Familiarity.STARTED
     elif rank == 0:
         familiarity = Familiarity.PREFERRED
+    slowdown = state.slowdown.at(estimates.now)
+    wait = _expected_wait(state, estimates.mean_run_time, estimates.now)
     return Choice(
         state,
         rank,
         familiarity,
-        _expected_wait(state, estimates.mean_run_time, estimates.now),
-        estimates.run_times.expected(familiarity),
+        wait * slowdown,
+        estimates.run_times.expected(familiarity) * slowdown,
     )
 
 
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -10,6 +10,7 @@
 
 from plantainstand_placement._cold_knowledge import ColdKnowledge
 from plantainstand_placement._recent_sends import RecentSends
+from plantainstand_placement._slowdown import USUAL_SLOWDOWN, ReportedSlowdown
 
 _NEVER = timedelta.min
 
@@ -50,9 +51,13 @@
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
+    slowdown: float = USUAL_SLOWDOWN
     """How many times as long as usual work takes on its machine now."""
 
+    def usual_time(self, duration: timedelta) -> timedelta:
+        """Return how long a run of ``duration`` takes at usual speed."""
+        return duration / self.slowdown
+
 
 class TargetState:
     """Load and health of a target, from own results and its reports."""
@@ -66,6 +71,7 @@
         self.paused_until = _NEVER
         self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
+        self.slowdown = ReportedSlowdown()
         self._other_load = float(0)
         self._other_load_at = now
         self._failure_rate = float(0)
@@ -146,8 +152,7 @@
         self._backoff = UNREACHABLE_BACKOFF
         self._record_result(now, failed=failed, responded=True)
         if report is not None:
-            load = report.running + report.waiting
-            self._record_other_load(now, load - self.in_flight)
+            self._record_report(now, report)
 
     def record_rejection(
         self, now: timedelta, report: LoadReport | None
@@ -157,10 +162,8 @@
         A target that does not report its load is assumed to be full.
         """
         self._record_result(now, failed=True, responded=True)
-        load = self.entry.slots + 1
-        if report is not None:
-            load = report.running + report.waiting
-        self._record_other_load(now, load - self.in_flight)
+        slots = self.entry.slots
+        self._record_report(now, report or LoadReport(slots, 1, slots))
 
     def record_failure(
         self, now: timedelta, silent_since: timedelta | None = None
@@ -192,9 +195,11 @@
         self._failure_rate = rate + NEWEST_RESULT_WEIGHT * (failed - rate)
         self._failure_rate_at = now
 
-    def _record_other_load(self, now: timedelta, load: float) -> None:
+    def _record_report(self, now: timedelta, report: LoadReport) -> None:
+        load = report.running + report.waiting - self.in_flight
         self._other_load = max(float(0), load)
         self._other_load_at = now
+        self.slowdown.record(now, report.slowdown)
 
 
 def _decay(half_lives: float) -> float:
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -55,9 +55,11 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     mean_run_time: timedelta = timedelta(milliseconds=200)
 
-    def record(self, choice: Choice, duration: timedelta) -> None:
+    def record(
+        self, choice: Choice, duration: timedelta, report: LoadReport
+    ) -> None:
         """Add the time from sending a request to its response."""
-        run = duration - choice.expected_wait
+        run = report.usual_time(duration - choice.expected_wait)
         self.run_times.record(ROUTE, choice.familiarity, run)
         run = max(run, timedelta(milliseconds=1))
         self.mean_run_time += (run - self.mean_run_time) * 0.05
@@ -357,7 +359,7 @@
         state.record_ended()
         state.record_response(self._now, report, failed=False)
         state.record_object(request.object_key, responded=True)
-        request.vm.record(choice, self._now - request.sent)
+        request.vm.record(choice, self._now - request.sent, report)
 
     def _time_out(self, request: ReplayedRequest, choice: Choice) -> None:
         if request.has_ended:
