--- a/tests/allotments/test_authority.py
+++ b/tests/allotments/test_authority.py
@@ -182,6 +182,19 @@
             with self.subTest(when=when):
                 self.assertEqual(bool(amount), bool(is_raised))
 
+    def test_vm_that_is_not_counted(self) -> None:
+        """A VM that asks may apply a raise of the old leader, counted or
+        not."""
+        self.first.answer(self.new, self.first.ask(60), 60, term=2)
+        for when in (60.1, 60.6, 62.2):
+            question = self.second.ask(when)
+            answer = self.second.answer(
+                self.new, question, when, term=2, counted=VMS[1:]
+            )
+            self.second.holder.apply(answer, at(when))
+            self.second.request(1, when)
+        self.assertEqual(allotted(answer), 0)
+
     def test_vm_that_restarted_before_its_first_report(self) -> None:
         """Nobody reports the runs of its process before."""
         restarted = Exchange(VMS[0], incarnation=2)
