--- a/libraries/allotments/plantainstand_allotments/_holder.py
+++ b/libraries/allotments/plantainstand_allotments/_holder.py
@@ -8,6 +8,7 @@
 
 from plantainstand_allotments._terms import (
     ANSWER_AGE_LIMIT,
+    CLOCK_MARGIN,
     LEASE,
     SEASONED_NUMBER,
     AllotmentTerms,
@@ -149,6 +150,7 @@
                 amount = min(amount, usage.allotment)
             usage.allotment = amount
             usage.is_exhausted = given is not None and given.is_exhausted
+            usage.is_scarce = given is not None and given.is_scarce
 
     def _drop_allotments(self, now: timedelta) -> None:
         for usage in self._usages.values():
@@ -166,9 +168,16 @@
             if usage.is_idle(now) and not run_count:
                 idle.append(account)
                 continue
-            committed = max(usage.allotment, run_count)
+            if usage.return_unused(demand):
+                self._fence.changed_at = now
             uses.append(
-                AllotmentUse(account, usage.allotment, committed, demand)
+                AllotmentUse(
+                    account=account,
+                    allotment=usage.allotment,
+                    committed=max(usage.allotment, run_count),
+                    demand=demand,
+                    waiting=usage.waiting_count,
+                )
             )
         for forgotten in idle:
             if self._usages.pop(forgotten).allotment:
@@ -181,7 +190,7 @@
 
     def __init__(self, window: timedelta) -> None:
         self.applied = 0
-        self._window = window
+        self._seasoning = window * CLOCK_MARGIN
         self._started_at: timedelta | None = None
         self._number = 0
         self._sent: dict[int, timedelta] = {}
@@ -191,7 +200,7 @@
         if self._started_at is None:
             self._started_at = now
         self._number += 1
-        if now - self._started_at >= self._window:
+        if now - self._started_at >= self._seasoning:
             self._number = max(self._number, SEASONED_NUMBER)
         sent = self._sent
         expired = now - ANSWER_AGE_LIMIT
