Tests: keys of pipelined requests and kept connections; forged headers as bytes

Covers that each request of a connection is served for its own key, that a withdrawn key ends on a kept connection, and that X-Tenant and Authorization in odd forms, as trailers too, are refused as no HTTP or do not reach a target.

--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
 from datetime import timedelta
 from itertools import product
 from typing import Any
@@ -12,7 +13,7 @@
 from plantainstand_desired import AccountName, Item, digest_key
 from plantainstand_edge._access import PermitDenial
 from plantainstand_edge._active_request import ActiveRequest
-from plantainstand_http import Response
+from plantainstand_http import HttpServer, Response
 from result import Ok, Result
 from structlog.testing import capture_logs
 
@@ -146,6 +147,72 @@
                 self.assertNotIn(b'k1', fixture.pool.payloads[0])
 
 
+class PipelinedKeyTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a key that counts for other requests of a connection."""
+
+    async def test_pipelined_requests(self) -> None:
+        """Each request is served for its own key, in a batch or one by one."""
+        keys = (b'k1', b'k9', b'k3', b'', b'k2')
+        for idempotent in (True, False):
+            with self.subTest(idempotent=idempotent):
+                fixture = SteeringFixture(
+                    ANSWERED, ANSWERED, ANSWERED, idempotent=idempotent
+                )
+                fixture.change(2, _ACME, _OTHER)
+                statuses = await _pipeline(fixture, keys)
+                self.assertEqual(statuses, [200, 401, 200, 401, 200])
+                self.assertEqual(
+                    _accounts_sent(fixture),
+                    [
+                        [b'account: acme'],
+                        [b'account: other'],
+                        [b'account: acme'],
+                    ],
+                )
+
+    async def test_key_withdrawn_on_a_kept_connection(self) -> None:
+        """A connection on which a key was known gives it no further use."""
+        fixture = _with_accounts(ANSWERED, ANSWERED)
+        removed = (account_removal('acme', 2),)
+        fixture.pool.when_sent = _Change(fixture, removed)
+        statuses = await _pipeline(fixture, (b'k1', b'k1'), at_once=1)
+        self.assertEqual(statuses, [200, 401])
+        self.assertEqual(len(fixture.pool.sent), 1)
+
+
+async def _pipeline(
+    fixture: SteeringFixture, keys: Sequence[bytes], at_once: int = 9
+) -> list[int]:
+    """Return the statuses of requests that are sent on one connection."""
+    statuses: list[int] = []
+    async with AsyncExitStack() as stack:
+        steering = fixture.steering
+        server = HttpServer(
+            steering.handle, fixture.clock, steering.may_overlap
+        )
+        await server.start('127.0.0.1', 0, stack)
+        assert server._listener is not None
+        host, port = server._listener.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        stack.callback(writer.close)
+        for first in range(0, len(keys), at_once):
+            batch = keys[first : first + at_once]
+            writer.write(b''.join(map(_encode, batch)))
+            statuses.extend([await _read_status(reader) for _key in batch])
+    return statuses
+
+
+def _encode(key: bytes) -> bytes:
+    return b'GET /orders/1 HTTP/1.1\r\nid: 1\r\nkey: %s\r\n\r\n' % key
+
+
+async def _read_status(reader: asyncio.StreamReader) -> int:
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = int(head.split(b'content-length: ')[1].split()[0])
+    await reader.readexactly(length)
+    return int(head.split(b' ')[1])
+
+
 class ChangedKeyTests(unittest.IsolatedAsyncioTestCase):
     """Guards against runs for a key that changes while its request waits."""
 
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -4,9 +4,10 @@
 from datetime import timedelta
 from itertools import product
 
-from plantainstand_core import TargetId
+from plantainstand_core import ManualClock, TargetId
 from plantainstand_desired import AccountName, KeyDigest, digest_key
 from plantainstand_http import Headers, Request, TargetResponse, encode_request
+from plantainstand_http._reader import RequestReader
 from plantainstand_placement import LoadReport
 from plantainstand_platform.requests import (
     local_response_headers,
@@ -119,6 +120,67 @@
                 )
 
 
+class WireTests(unittest.TestCase):
+    """Guards against forged accounts in odd forms of a request's bytes."""
+
+    def test_odd_forms(self) -> None:
+        """Each form is refused as no HTTP, or reaches the target without."""
+        cases: tuple[tuple[str, bytes, int], ...] = (
+            ('twice', b'X-Tenant: forged\r\nx-tenant: forged\r\n', 1),
+            ('other case', b'x-TENANT: forged\r\n', 1),
+            ('underscore', b'X_Tenant: forged\r\n', 1),
+            ('odd bytes', b'X-Tenant: forged\xff\xfe\r\n', 1),
+            ('no space', b'X-Tenant:forged\r\n', 1),
+            ('nominated', b'X-Tenant: forged\r\nConnection: x-tenant\r\n', 1),
+            ('space before the colon', b'X-Tenant : forged\r\n', 0),
+            ('tab before the colon', b'X-Tenant\t: forged\r\n', 0),
+            ('folded', b'A: b\r\n X-Tenant: forged\r\n', 0),
+            ('folded content', b'X-Tenant:\r\n forged\r\n', 0),
+            ('bare CR', b'A: b\rX-Tenant: forged\r\n', 0),
+            ('bare LF', b'A: b\nX-Tenant: forged\r\n', 0),
+            ('NUL', b'X-Tenant\x00: forged\r\n', 0),
+            ('folded key', b'Authorization: Token\r\n k-3f81\r\n', 0),
+        )
+        for name, lines, count in cases:
+            with self.subTest(name):
+                requests = _requests_in(
+                    b'GET / HTTP/1.1\r\nX-Request-Id: 1\r\n%s\r\n' % lines
+                )
+                self.assertEqual(len(requests), count)
+                for request in requests:
+                    self._assert_own_account(request)
+
+    def test_trailers(self) -> None:
+        """Trailers of a chunked body are neither headers nor forwarded."""
+        requests = _requests_in(
+            b'POST / HTTP/1.1\r\nX-Request-Id: 1\r\n'
+            b'Transfer-Encoding: chunked\r\nTrailer: X-Tenant\r\n\r\n'
+            b'1\r\na\r\n0\r\nX-Tenant: forged\r\n'
+            b'Authorization: Token k-3f81\r\n\r\n'
+        )
+        self.assertEqual(len(requests), 1)
+        self._assert_own_account(requests[0])
+        metadata = read_request_metadata(requests[0])
+        assert metadata is not None
+        self.assertIsNone(metadata.key_digest)
+
+    def _assert_own_account(self, request: Request) -> None:
+        payload = encode_request(
+            request,
+            target_headers(TargetId('i-1'), timedelta(1), AccountName('acme')),
+            platform_header_codec().account_headers,
+        )
+        self.assertNotIn(b'forged', payload)
+        self.assertEqual(payload.lower().count(b'tenant'), 1)
+        self.assertNotIn(b'k-3f81', payload)
+
+
+def _requests_in(received: bytes) -> list[Request]:
+    requests: list[Request] = []
+    reader = RequestReader(ManualClock(), requests.append, lambda: None)
+    return requests if reader.feed(received) else []
+
+
 class RequestTests(unittest.TestCase):
     """Guards against misread headers of a client."""
 
