--- a/libraries/control/plantainstand_control/_account_answers.py
+++ b/libraries/control/plantainstand_control/_account_answers.py
@@ -33,6 +33,10 @@
 BARRIER_TIMEOUT = timedelta(seconds=1)
 """Longest wait for a majority. Entry VMs have asked again by then."""
 
+TERM_TIMEOUT = timedelta(milliseconds=200)
+"""Longest delay of the operator's first change in a term. Without the answer of
+a majority, the change would hardly be committed either."""
+
 MIN_BATCH_INTERVAL = timedelta(milliseconds=20)
 """Shortest time between two barriers. With a majority one millisecond away,
 questions that arrive one by one would otherwise cost hundreds of barriers a
@@ -102,12 +106,30 @@
             self._links[vm] = link
             self._receive_question(vm, message)
 
+    async def begin_term(self) -> None:
+        """Begin a term of this VM before an account may be set in it.
+
+        A leader that knows that there were no accounts before its term need
+        not wait for leases of earlier leaders.
+        """
+        replica = self._replicas().replica
+        state = self._state()
+        if replica is None:
+            return
+        term = replica.status().term
+        if not self._allotments.lacks(term):
+            return
+        barrier = await replica.read_barrier(TERM_TIMEOUT)
+        if not isinstance(barrier, Err) and replica.status().term == term:
+            self._allotments.lead(term, state)
+
     def check(self) -> None:
         """Follow changes of the leader; call it about twice a second."""
         replica = self._replicas().replica
         leader = self._replicas().leader
         if replica is not None and leader == self._peers.own:
-            self._allotments.lead(replica.status().term)
+            if self._allotments.lacks(replica.status().term):
+                self._arrived.set()
         elif leader is not None:
             self._record_problem('')
 
@@ -153,13 +175,15 @@
         # for the state that belongs to this replica.
         state = self._state()
         if replica is None:
-            self._record_problem('the disk is not usable')
             return
         term = replica.status().term
         barrier = await replica.read_barrier(BARRIER_TIMEOUT)
         if isinstance(barrier, Err):
-            self._record_problem(str(barrier.err_value))
+            if batch:
+                self._record_problem(str(barrier.err_value))
             return
+        if replica.status().term == term:
+            self._allotments.lead(term, state)
         for waiting in batch:
             if replica.status().term != term:
                 self._record_problem('the term has ended')
--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -196,6 +196,7 @@
             lambda: self._replicas.replica,
             lambda: self._state,
             self._replicas.limits.entry_bytes,
+            self._account_answers.begin_term,
         )
 
     def replace_seeds(self, seeds: Collection[VmId]) -> None:
--- a/libraries/control/plantainstand_control/_operator.py
+++ b/libraries/control/plantainstand_control/_operator.py
@@ -1,6 +1,6 @@
 """Commands of the operator, executed through the replicated log."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -58,13 +58,16 @@
         replica: Callable[[], LogReplica | None],
         state: Callable[[], DesiredState],
         max_state_bytes: int,
+        before_change: Callable[[], Awaitable[None]],
     ):
         """Call ``replica`` and ``state`` for each call of the operator.
 
         Both are replaced when the disk is opened again. A change that takes
         the desired state above ``max_state_bytes`` is refused by the leader
-        alone, since the memory of VMs may differ.
+        alone, since the memory of VMs may differ. ``before_change`` is called
+        on the leader.
         """
+        self._before_change = before_change
         self._max_state_bytes = max_state_bytes
         self._replica = replica
         self._state = state
@@ -89,6 +92,7 @@
         problem = self._size_problem(command)
         if problem is not None:
             return Err(problem)
+        await self._before_change()
         outcome = await replica.ok_value.propose(
             encode_command(command),
             COMMAND_TIMEOUT,
