Limits of accounts: the log records which entry VMs may have allotments

Cause: after an election nothing was raised for 2 s, and after a restart of all control VMs for 10.8 s, since a new leader did not know which VMs have leases. Three quarters of what nobody wants are given to the VMs that use an account, so that they go on while no leader can raise.

--- a/libraries/allotments/plantainstand_allotments/_books.py
+++ b/libraries/allotments/plantainstand_allotments/_books.py
@@ -22,6 +22,11 @@
 at VMs without a margin find something. Taking a margin back lasts up to two
 questions, which is longer than a request waits."""
 
+_SPARE_NUMERATOR: Final = 3
+_SPARE_DENOMINATOR: Final = 4
+"""Three quarters of what nobody wants are given to the VMs that use an account.
+The rest is for VMs that use it next."""
+
 _SCARCE_PART: Final = 8
 """No margins are given from the last part in so many of the total. Runs that
 leave a window are free only after the next question, so that an account near
@@ -152,7 +157,8 @@
         if beyond_need <= 0:
             return need
         margin = -(-need * _MARGIN_NUMERATOR // _MARGIN_DENOMINATOR) + 1
-        return need + min(margin, beyond_need // _MARGIN_PART)
+        margin = min(margin, beyond_need // _MARGIN_PART)
+        return need + max(margin, min(beyond_need, self._spare_part(need)))
 
     def renewed(self, allotment: int) -> int:
         """Return what to renew while the sums are incomplete."""
@@ -189,6 +195,17 @@
         soon = max(holding.waiting, need // NEAR_DEMAND_PART)
         return min(need, part, holding.reserved + soon)
 
+    def _spare_part(self, need: int) -> int:
+        """Return a part in proportion of most of what nobody wants.
+
+        VMs go on with it while no leader can raise allotments.
+        """
+        if not self.demand_sum:
+            return 0
+        spare = self._available - self.demand_sum - self._total // _SCARCE_PART
+        part = need * max(0, spare) // self.demand_sum
+        return part * _SPARE_NUMERATOR // _SPARE_DENOMINATOR
+
     def _rounding_offset(self, vm_position: int) -> float:
         fraction, _whole = math.modf(
             (vm_position + self._position) * _GOLDEN_FRACTION
--- a/libraries/control/plantainstand_control/_account_answers.py
+++ b/libraries/control/plantainstand_control/_account_answers.py
@@ -12,8 +12,13 @@
 
 import msgspec
 import structlog
+from plantainstand_consensus import LogReplica
 from plantainstand_core import Clock, VmId
-from plantainstand_desired import DesiredState
+from plantainstand_desired import (
+    DesiredState,
+    SetAllotmentVms,
+    encode_command,
+)
 from plantainstand_fleet import (
     AccountAnswer,
     AccountQuestion,
@@ -192,6 +197,24 @@
             # Allotments of many accounts take time that other work needs.
             await asyncio.sleep(0)
         self._record_problem('')
+        await self._record_vms(replica, state)
+
+    async def _record_vms(
+        self, replica: LogReplica, state: DesiredState
+    ) -> None:
+        """Record VMs that ask for the first time; they ask again."""
+        vms = self._allotments.vms_to_record(state)
+        if vms is None:
+            return
+        command = SetAllotmentVms(tuple(sorted(vms)))
+        recorded = await replica.propose(
+            encode_command(command), BARRIER_TIMEOUT
+        )
+        _log.info(
+            'entry VMs recorded for allotments',
+            vms=len(vms),
+            outcome='recorded' if recorded.is_ok() else str(recorded.err()),
+        )
 
     def _answer(
         self, waiting: _Waiting, state: DesiredState, term: int
--- a/libraries/desired/plantainstand_desired/_state.py
+++ b/libraries/desired/plantainstand_desired/_state.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 import msgspec
-from plantainstand_core import AvailabilityZoneId, LogIndex
+from plantainstand_core import AvailabilityZoneId, LogIndex, VmId
 
 from plantainstand_desired._account_index import AccountIndex
 from plantainstand_desired._items import (
@@ -31,7 +31,17 @@
     active: bool
 
 
-Command = ChangeItems | SetEvacuation
+class SetAllotmentVms(msgspec.Struct, frozen=True, tag='allotment_vms'):
+    """Replaces the entry VMs that may have allotments of accounts' limits.
+
+    The leader records a VM before it gives the first allotment, so that the
+    leaders after it know whose leases they have to wait for.
+    """
+
+    vms: tuple[VmId, ...]
+
+
+Command = ChangeItems | SetEvacuation | SetAllotmentVms
 
 
 class Verdict(Enum):
@@ -63,6 +73,7 @@
     evacuations: tuple[EvacuationItem, ...]
     forgotten_index: int = 0
     accounts_index: int = 0
+    allotment_vms: tuple[VmId, ...] = ()
 
 
 _COMMAND_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(
@@ -98,6 +109,9 @@
         self._routes = RouteIndex()
         self._accounts = AccountIndex()
         self._accounts_index = LogIndex(0)
+        self.allotment_vms: frozenset[VmId] = frozenset()
+        """Entry VMs that may have allotments of accounts' limits."""
+
         self._size = 0
         self._index = LogIndex(0)
 
@@ -162,6 +176,9 @@
         command = _COMMAND_DECODER.decode(payload)
         if isinstance(command, SetEvacuation):
             outcome = self._set_evacuation(index, command)
+        elif isinstance(command, SetAllotmentVms):
+            self.allotment_vms = frozenset(command.vms)
+            outcome = ChangeOutcome(Verdict.ACCEPTED, changed=1)
         else:
             outcome = self._change_items(index, command.items)
         return msgspec.msgpack.encode(outcome)
@@ -174,6 +191,7 @@
                 tuple(self.evacuations),
                 self._forgotten_index,
                 self._accounts_index,
+                tuple(sorted(self.allotment_vms)),
             ),
         )
 
@@ -184,6 +202,7 @@
         self._routes = RouteIndex(stored.items)
         self._accounts = AccountIndex(stored.items)
         self._accounts_index = LogIndex(stored.accounts_index)
+        self.allotment_vms = frozenset(stored.allotment_vms)
         self._evacuations = {each.zone: each for each in stored.evacuations}
         self._forgotten_index = LogIndex(stored.forgotten_index)
         removed = [each for each in stored.items if each.body is None]
