Hostile clients: tests with real processes against memory and descriptors

Cause: clients that send legal requests made of many short header lines, or many large bodies without their end, can take more memory than the process may use (docs/accounts-and-load.md, section 9). No test covered it.

The product is unchanged.

--- /dev/null
+++ b/tests/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes against clients that take memory and descriptors."""
