HTTP server: at most 1,024 header lines in a request

Cause: a head of 16,384 bytes may hold more than 3,000 lines of five bytes. Each line takes two bytes objects and a tuple, so one head takes more than half a megabyte.

Change: ClientLimits.header_lines, 1,024 by default; 431 above, also before the head is whole. A head within 16,384 bytes reaches it only with lines of fewer than 16 bytes on average, which no ordinary client sends.

Measured: tests.http.test_header_lines failed both tests before the change (a response of 200, and none at all) and passes now.

--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -190,7 +190,9 @@
     def _enqueue(self, request: Request) -> None:
         if self._pipeline.input_ended:
             return
-        if request.head_bytes > self._server.limits.header_bytes:
+        limits = self._server.limits
+        is_long = len(request.headers) > limits.header_lines
+        if is_long or request.head_bytes > limits.header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         # Reading goes on without keep-alive, since it detects that the client
@@ -294,6 +296,8 @@
     framing_limit = max(MAX_FRAMING_BYTES, limits.header_bytes)
     if reader.framing_bytes > framing_limit:
         return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    if reader.header_lines > limits.header_lines:
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     if reader.reading_head and reader.head_bytes > limits.header_bytes:
         return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
     if reader.body_bytes > limits.body_bytes:
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -41,6 +41,11 @@
     """Total size of the request bodies that one server holds: the largest usual
     body and some smaller ones."""
 
+    header_lines: int = 1024
+    """Most header lines of a request. Each takes some 200 bytes of memory
+    beside its length. A head of 16,384 bytes reaches this limit only if its
+    lines have fewer than 16 bytes on average."""
+
 
 SHORT_CALLS = ClientLimits(
     body_bytes=65_536,
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -31,6 +31,11 @@
         self._small_pieces = 0
         self._begin()
 
+    @property
+    def header_lines(self) -> int:
+        """Number of header lines of the request that is being read."""
+        return len(self._headers)
+
     def take_small_pieces(self) -> int:
         """Return the number of small pieces since the last call."""
         count = self._small_pieces
