Request bodies: held once, in parts

Cause: a body was copied into the request, into the encoded request and into the transport's buffer, so one body of 64 MiB took four times its size and an entry process of 37 MB reached 296 MB.

Change: the reader keeps a body above 64 KiB as parts of that size, and Request.long_body hands them to the connection to the target, which writes the next one only when the transport's buffer has been sent. Request.whole_body joins them for handlers that decode the body.

--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -128,6 +128,7 @@
             time_left,
             head_only=active.request.method == b'HEAD',
             may_send=partial(self._may_send, active, state),
+            long_body=active.request.long_body,
         )
         if isinstance(outcome, Err) or outcome.ok_value.rest is None:
             return outcome
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -51,6 +51,7 @@
         *,
         head_only: bool = False,
         may_send: Callable[[], bool] = _always,
+        long_body: Sequence[bytes] = (),
     ) -> ExchangeResult:
         """Send a request and wait for the response.
 
@@ -60,6 +61,7 @@
         cancelled the connection is closed, so that the target stops working on
         the request. ``may_send`` is called once there is a connection, right
         before the request leaves; if it returns False, nothing is sent.
+        ``long_body`` is sent after ``payload``.
         """
         started = self._clock.monotonic()
         connected = await self._connect(address, min(timeout, CONNECT_TIMEOUT))
@@ -72,7 +74,11 @@
             return Err(ExchangeFailure(FailureKind.NOT_SENT, detail))
         time_left = timeout - (self._clock.monotonic() - started)
         exchange = connection.send(
-            payload, echoed_header, time_left, head_only=head_only
+            payload,
+            echoed_header,
+            time_left,
+            head_only=head_only,
+            long_body=long_body,
         )
         outcome = await exchange.wait()
         if _is_timeout(outcome):
--- a/libraries/http/plantainstand_http/_connection.py
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -1,7 +1,8 @@
 """One connection to a target, which carries one exchange at a time."""
 
 import asyncio
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from plantainstand_core import Clock
@@ -44,6 +45,8 @@
         self._reader = ResponseReader(self._deliver, self._complete)
         self._exchange: Exchange | None = None
         self._idle_since = clock.monotonic()
+        self._unsent: deque[bytes] = deque()
+        self._is_writable = True
 
     @property
     def is_usable(self) -> bool:
@@ -70,10 +73,12 @@
         timeout: timedelta,
         *,
         head_only: bool,
+        long_body: Sequence[bytes] = (),
     ) -> Exchange:
         """Send a request whose response must echo ``echoed_header``.
 
-        The response fails unless its body is whole after ``timeout``.
+        ``long_body`` follows ``payload``, no faster than the target reads. The
+        response fails unless its body is whole after ``timeout``.
         """
         assert self._transport is not None  # noqa: S101
         control = StreamSource(
@@ -87,16 +92,28 @@
             StreamSource(exchange.pause, exchange.resume, exchange.abort),
             head_only=head_only,
         )
+        self._unsent.extend(long_body)
         self._transport.write(payload)
+        self._send_parts()
         return exchange
 
     def abort(self) -> None:
         """Close at once, so that the target stops working on the request."""
         self._reader.may_reuse = False
         self._input.discard()
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_writing(self) -> None:
+        """See :class:`asyncio.Protocol`."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """See :class:`asyncio.Protocol`."""
+        self._is_writable = True
+        self._send_parts()
+
     def data_received(self, chunk: bytes) -> None:
         """Parse bytes from the target, within its share of the loop."""
         self._input.receive(chunk)
@@ -113,6 +130,18 @@
         detail = 'connection reset' if problem else 'connection closed'
         self._fail(ExchangeFailure(FailureKind.BROKEN, detail))
 
+    @property
+    def _has_unsent(self) -> bool:
+        if self._unsent:
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def _send_parts(self) -> None:
+        # The transport copies what it cannot send at once.
+        while self._unsent and self._is_writable and self._transport:
+            self._transport.write(self._unsent.popleft())
+
     def _parse(self, part: bytes | memoryview) -> int:
         if not self._reader.is_expecting:
             # Bytes without a request are no response to anything.
@@ -130,9 +159,10 @@
     def _complete(self) -> None:
         self._end_exchange()
         self._idle_since = self._clock.monotonic()
-        if self._transport and self._transport.get_write_buffer_size():
+        if self._has_unsent:
             # The target would parse the unsent rest of the body as a request.
             self._reader.may_reuse = False
+            self._unsent.clear()
         self._input.resume()
         self._released(self)
 
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -42,7 +42,7 @@
 
     headers: Headers
     body: bytes
-    """Body without its transfer coding."""
+    """Body without its transfer coding; empty if it is in ``long_body``."""
 
     received_at: timedelta
     """Monotonic time at which the head was complete."""
@@ -53,6 +53,20 @@
     accepts_chunked: bool = True
     """Whether the client accepts chunked bodies: HTTP/1.1, not 1.0."""
 
+    long_body: tuple[bytes, ...] = ()
+    """Parts of a body above LONG_PART_BYTES. They are never joined for a
+    target, so that the body is held only once."""
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body."""
+        return len(self.body) + sum(len(part) for part in self.long_body)
+
+    @property
+    def whole_body(self) -> bytes:
+        """Body in one piece; a copy if it is long."""
+        return b''.join(self.long_body) if self.long_body else self.body
+
     @property
     def head_bytes(self) -> int:
         """Size of path, query and headers."""
@@ -126,14 +140,16 @@
 ) -> bytes:
     """Encode a request to be forwarded, with headers added and removed.
 
-    An added header replaces those of the client with the same name.
+    The parts of ``request.long_body`` are to be sent after what is returned. An
+    added header replaces those of the client with the same name.
     """
     replaced = {*removed, *(name for name, _content in added)}
     lines = [b'%s %s HTTP/1.1' % (request.method, request.request_target)]
     kept = end_to_end_headers(request.headers, replaced)
     lines.extend(b'%s: %s' % header for header in (*kept, *added))
-    if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
-        lines.append(b'content-length: %d' % len(request.body))
+    size = request.body_bytes
+    if size or request.method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'content-length: %d' % size)
     lines.extend((b'', request.body))
     return b'\r\n'.join(lines)
 
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -173,7 +173,7 @@
 
     def add(self, request: Request, ready: Response | None = None) -> None:
         """Queue a request; ``ready`` is its response if already known."""
-        self._body_bytes += len(request.body)
+        self._body_bytes += request.body_bytes
         if not request.keep_alive:
             self._input_ended = True
         self._waiting.append((request, ready))
@@ -234,7 +234,7 @@
                     response.rest.close()
         self._tasks.popleft()
         self._started.popleft()
-        self._body_bytes -= len(request.body)
+        self._body_bytes -= request.body_bytes
         if not self._tasks:
             self._last_started = None
         if self._output is not None:
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -9,6 +9,10 @@
 from plantainstand_http._messages import Request, header_value
 from plantainstand_http._pacing import SMALL_PIECE_BYTES
 
+LONG_PART_BYTES = 64 * 1024
+"""Least length of the parts that a long body is held in. One growing buffer
+would be copied while it grows, and again into the request."""
+
 
 class RequestReader:
     """Parses bytes and delivers each whole request.
@@ -83,17 +87,24 @@
         self.framing_bytes = 0
         self._body += part
         self.body_bytes += len(part)
+        if len(self._body) >= LONG_PART_BYTES:
+            self._long_body.append(bytes(self._body))
+            self._body = bytearray()
 
     def on_message_complete(self) -> None:
         """Deliver the request, which is now whole."""
+        body = bytes(self._body)
+        if self._long_body and body:
+            self._long_body.append(body)
         request = Request(
             method=self._parser.get_method(),
             request_target=self._target,
             headers=tuple(self._headers),
-            body=bytes(self._body),
+            body=b'' if self._long_body else body,
             received_at=self._received_at,
             keep_alive=self._parser.should_keep_alive(),
             accepts_chunked=self._parser.get_http_version() != '1.0',
+            long_body=tuple(self._long_body),
         )
         self._begin()
         self._completed(request)
@@ -108,4 +119,5 @@
         self._received_at = self.begun_at
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
+        self._long_body: list[bytes] = []
+        self._body: bytearray = bytearray()
