--- a/libraries/control/plantainstand_control/_settings.py
+++ b/libraries/control/plantainstand_control/_settings.py
@@ -42,3 +42,6 @@
 
     account_terms: AllotmentTerms | None = None
     """How the limits of accounts are enforced; None if they are not."""
+
+    max_descriptors: int = 4096
+    """Descriptors that the process may open."""
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -27,14 +27,20 @@
     return True
 
 
+MAX_IDLE_CONNECTIONS = 4096
+"""Idle connections that a pool without a stated limit keeps."""
+
+
 class TargetConnectionPool:
     """Pool of connections to targets by address; owned by one event loop."""
 
-    def __init__(self, clock: Clock):
-        """Create an empty pool."""
+    def __init__(self, clock: Clock, max_idle: int = MAX_IDLE_CONNECTIONS):
+        """Create an empty pool that keeps ``max_idle`` idle connections."""
         self._clock = clock
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._budget = PieceBudget(clock)
+        self._max_idle = max_idle
+        self._idle_count = 0
         self.opened_count = 0
 
     @property
@@ -51,6 +57,7 @@
         *,
         head_only: bool = False,
         may_send: Callable[[], bool] = _always,
+        long_body: Sequence[bytes | bytearray] = (),
     ) -> ExchangeResult:
         """Send a request and wait for the response.
 
@@ -60,6 +67,7 @@
         cancelled the connection is closed, so that the target stops working on
         the request. ``may_send`` is called once there is a connection, right
         before the request leaves; if it returns False, nothing is sent.
+        ``long_body`` is sent after ``payload``.
         """
         started = self._clock.monotonic()
         connected = await self._connect(address, min(timeout, CONNECT_TIMEOUT))
@@ -72,7 +80,11 @@
             return Err(ExchangeFailure(FailureKind.NOT_SENT, detail))
         time_left = timeout - (self._clock.monotonic() - started)
         exchange = connection.send(
-            payload, echoed_header, time_left, head_only=head_only
+            payload,
+            echoed_header,
+            time_left,
+            head_only=head_only,
+            long_body=long_body,
         )
         outcome = await exchange.wait()
         if _is_timeout(outcome):
@@ -105,7 +117,9 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
+        idle = self._idle.pop(address, ())
+        self._idle_count -= len(idle)
+        for connection in idle:
             connection.abort()
 
     def close(self) -> None:
@@ -117,6 +131,7 @@
         """Close connections that have exceeded their idle limit."""
         for address, idle in tuple(self._idle.items()):
             while idle and not idle[0].is_usable:
+                self._idle_count -= 1
                 idle.popleft().abort()
             if not idle:
                 self._idle.pop(address)
@@ -128,6 +143,7 @@
     ) -> Result[TargetConnection, ExchangeFailure]:
         idle = self._idle.get(address)
         while idle:
+            self._idle_count -= 1
             connection = idle.pop()
             if connection.is_usable:
                 return Ok(connection)
@@ -159,7 +175,8 @@
         return Ok(connection)
 
     def _release(self, address: str, connection: TargetConnection) -> None:
-        if connection.is_usable:
+        if connection.is_usable and self._idle_count < self._max_idle:
+            self._idle_count += 1
             self._idle.setdefault(address, deque()).append(connection)
         else:
             connection.abort()
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -4,13 +4,22 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Protocol
 
 import structlog
 
+from plantainstand_http._budget import (
+    LINE_COST,
+    REQUEST_COST,
+    RUN_COST,
+    STREAM_COST,
+    BudgetLimits,
+    ClientBudget,
+    MemoryAccount,
+)
 from plantainstand_http._messages import Request, Response
 from plantainstand_http._output import ClientOutput
 from plantainstand_http._pacing import PieceBudget
@@ -24,6 +33,12 @@
 """Requests of one connection that are handled concurrently; while more wait,
 nothing is read."""
 
+MAX_KEPT_LINES = 32
+"""Header lines of the request answered last that an idle connection keeps."""
+
+READ_BYTES = 64 * 1024
+"""Bytes that are read from a client at once."""
+
 
 @dataclass(frozen=True)
 class ClientLimits:
@@ -37,9 +52,14 @@
     idle_timeout: timedelta = timedelta(seconds=75)
     """Longest time without bytes between requests or within a body."""
 
-    buffered_body_bytes: int = 80 * 1024 * 1024
-    """Total size of the request bodies that one server holds: the largest usual
-    body and some smaller ones."""
+    buffered_body_bytes: int | None = None
+    """Total size of the request bodies that one server holds; None if only the
+    budget of the process limits it."""
+
+    header_lines: int = 1024
+    """Most header lines of a request. Each takes some 200 bytes of memory
+    beside its length. A head of 16,384 bytes reaches this limit only if its
+    lines have fewer than 16 bytes on average."""
 
 
 SHORT_CALLS = ClientLimits(
@@ -87,6 +107,11 @@
     """Returns the id of a request for log lines, empty if it has none."""
 
     limits: ClientLimits = field(default_factory=ClientLimits)
+    clients: ClientBudget = field(
+        default_factory=lambda: ClientBudget(BudgetLimits())
+    )
+    """What the clients of all servers of the process may take."""
+
     closing: bool = False
     """Whether connections close after the requests already read."""
 
@@ -95,6 +120,10 @@
 
     buffered_body_bytes: int = 0
     connections: set[OpenConnection] = field(default_factory=set)
+    read_buffer: memoryview = field(
+        default_factory=lambda: memoryview(bytearray(READ_BYTES))
+    )
+    """What one read of one connection returns; the next read overwrites it."""
 
 
 @dataclass(frozen=True)
@@ -118,9 +147,18 @@
 class RequestPipeline:
     """Requests of one connection that have no response yet."""
 
-    def __init__(self, server: ServerState, events: PipelineCallbacks):
-        """Create an empty pipeline; :meth:`open` precedes the first request."""
+    def __init__(
+        self,
+        server: ServerState,
+        events: PipelineCallbacks,
+        account: MemoryAccount,
+    ):
+        """Create an empty pipeline; :meth:`open` precedes the first request.
+
+        What the requests and their responses take is added to ``account``.
+        """
         self._server = server
+        self._account = account
         self._events = events
         self._output: ClientOutput | None = None
         self._waiting: deque[tuple[Request, Response | None]] = deque()
@@ -168,7 +206,8 @@
 
     def add(self, request: Request, ready: Response | None = None) -> None:
         """Queue a request; ``ready`` is its response if already known."""
-        self._body_bytes += len(request.body)
+        self._body_bytes += request.body_bytes
+        self._account.add(_held_bytes(request))
         if not request.keep_alive:
             self._input_ended = True
         self._waiting.append((request, ready))
@@ -194,9 +233,13 @@
     def _start_next(self) -> None:
         while self._waiting and self._may_start(*self._waiting[0]):
             request, ready = self._waiting.popleft()
+            self._server.clients.begin_run()
+            self._account.add(RUN_COST)
             predecessor = self._tasks[-1] if self._tasks else None
             work = self._run(request, ready, predecessor)
             task = asyncio.get_running_loop().create_task(work)
+            # A task that is cancelled before its first step runs no code.
+            task.add_done_callback(self._server.clients.end_run)
             self._tasks.append(task)
             self._started.append(request)
             self._last_started = (request, ready)
@@ -207,6 +250,7 @@
         # Those started before the last one were checked when it started.
         return (
             len(self._tasks) < MAX_CONCURRENT_REQUESTS
+            and self._server.clients.may_overlap
             and self._may_overlap(*self._last_started)
             and self._may_overlap(request, ready)
         )
@@ -220,16 +264,20 @@
         ready: Response | None,
         predecessor: asyncio.Task[None] | None,
     ) -> None:
+        response_bytes = 0
         with suppress(asyncio.CancelledError):
             response = ready or await self._handle(request)
+            response_bytes = _response_bytes(response)
+            self._account.add(response_bytes)
             try:
                 await self._send_in_turn(request, response, predecessor)
             finally:
                 if response.rest is not None:
                     response.rest.close()
+        self._account.add(-RUN_COST - response_bytes - _held_bytes(request))
         self._tasks.popleft()
         self._started.popleft()
-        self._body_bytes -= len(request.body)
+        self._body_bytes -= request.body_bytes
         if not self._tasks:
             self._last_started = None
         if self._output is not None:
@@ -266,7 +314,7 @@
         close = self._input_ended and is_last
         is_whole = await output.send(request, response, close=close)
         if is_whole:
-            self._last_answered = request
+            self._last_answered = _without_body(request)
         else:
             # No later response can be told from the rest of this one.
             self.cancel()
@@ -274,6 +322,25 @@
             self._events.end_output()
 
 
+def _without_body(request: Request) -> Request:
+    """Return what is kept of a request after its response, for log lines."""
+    if len(request.headers) <= MAX_KEPT_LINES and not request.body_bytes:
+        return request
+    kept_lines = request.headers[:MAX_KEPT_LINES]
+    return replace(request, headers=kept_lines, body=b'', long_body=())
+
+
+def _held_bytes(request: Request) -> int:
+    lines_bytes = len(request.headers) * LINE_COST
+    head_bytes = REQUEST_COST + lines_bytes + request.head_bytes
+    return head_bytes + request.body_bytes
+
+
+def _response_bytes(response: Response) -> int:
+    size = len(response.body) + len(response.headers) * LINE_COST
+    return size if response.rest is None else size + STREAM_COST
+
+
 def _sendable(
     request: Request, response: Response, server: ServerState
 ) -> Response:
