Placement: homes for objects in demand; unheard targets count as busy as their region

Cause: an object in demand overloaded its one first target, and a VM that hears from a target every 12 s took it for idle, so that under overload requests spilled to busy targets, ran cold there and displaced their objects. Change: an entry VM counts requests by object, in bounded memory that decays. An object has as many first targets, in the region of its order, as its share of the reported load fills to 0.6 of their slots, and its requests use them in turn. A target without a recent report is taken to have the mean load that its region reported. Both only for requests that state an object on a sticky route.

--- a/libraries/edge/plantainstand_edge/_active_request.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -6,6 +6,7 @@
 from plantainstand_core import RegionId, ServiceId, TargetId
 from plantainstand_desired import AccountMatch, AccountName, RouteMatch
 from plantainstand_http import FailureKind, Request, TargetResponse
+from plantainstand_placement import DemandEstimate
 
 from plantainstand_edge._header_codec import RequestMetadata
 
@@ -24,6 +25,9 @@
     objective: timedelta
     """Monotonic time at which the route's latency objective ends."""
 
+    demand: DemandEstimate | None = None
+    """Demand for the object when the request arrived, if it states one."""
+
     account: AccountMatch | None = None
     """Account that holds the request's key; None if no key is required."""
 
@@ -82,6 +86,14 @@
             return stated
         return self.metadata.request_id
 
+    @property
+    def states_object(self) -> bool:
+        """Whether requests of the route with the same key are for one object.
+
+        Otherwise no target can be warm for the request.
+        """
+        return self.match.route.sticky and self.metadata.object_key is not None
+
     @property
     def account_name(self) -> AccountName | None:
         """Name of the account, if any."""
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -18,6 +18,7 @@
     Choice,
     ColdRequestShare,
     LongestDurations,
+    ObjectDemand,
     PlacementCriteria,
     Refusal,
     RefusalReason,
@@ -116,6 +117,7 @@
         self._splitter = TrafficSplitter()
         self._service_times = ServiceTimes()
         self._run_times = RunTimes()
+        self._object_demand: dict[ServiceId, ObjectDemand] = {}
         self._returning_callers = ReturningCallers()
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
@@ -224,7 +226,7 @@
         objective = timedelta(seconds=match.route.objective_seconds)
         service = self._splitter.pick(match)
         self._inputs.retry_budget.count_request(service, received)
-        return ActiveRequest(
+        active = ActiveRequest(
             request=request,
             metadata=metadata,
             match=match,
@@ -232,6 +234,10 @@
             deadline=received + timeout,
             objective=received + objective,
         )
+        if active.states_object:
+            demand = self._object_demand.setdefault(service, ObjectDemand())
+            active.demand = demand.count(active.object_key)
+        return active
 
     async def _serve(self, active: ActiveRequest) -> Response:
         while True:
@@ -302,6 +308,7 @@
                 inputs.fleet_view.share,
                 inputs.target_limits.stated,
             ),
+            demand=active.demand,
             list_reading=inputs.target_table.reading(self._settings.list_lag),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -18,6 +18,10 @@
 )
 from plantainstand_placement._eligibility import cold_limit, targets_to_probe
 from plantainstand_placement._fleet_share import FleetShare
+from plantainstand_placement._object_demand import (
+    DemandEstimate,
+    ObjectDemand,
+)
 from plantainstand_placement._pauses import pause_target
 from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
@@ -35,11 +39,13 @@
     'ColdRequestShare',
     'ColdTargetLimits',
     'Familiarity',
+    'DemandEstimate',
     'FleetShare',
     'PlacementCriteria',
     'ListReading',
     'LoadReport',
     'LongestDurations',
+    'ObjectDemand',
     'Refusal',
     'RequestLimits',
     'RefusalReason',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -6,6 +6,13 @@
 targets, so that all entry VMs of a region send it to the same target. A later
 target is used when this VM has sent the object there before and it responds
 earlier, or when a request would wait at all of these and it has slots to spare.
+An object in such demand that its first target cannot run all of its requests
+has several first targets, or homes, which its requests use in turn. Each home
+runs the object cold once and keeps fewer others, so there are only as many as
+the demand fills. What targets report is seconds old where many VMs share them:
+a target without a recent report is taken to be as busy as those of its region
+that have reported.
+
 The order does not depend on load, so each region's share of the objects stays
 constant while traffic rises, falls and moves.
 
@@ -18,11 +25,14 @@
 more to the client than a rejection.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
+from plantainstand_core import RegionId
+
 from plantainstand_placement._criteria import PlacementCriteria
 from plantainstand_placement._eligibility import (
     MAX_CANDIDATES,
@@ -47,6 +57,15 @@
 all targets are busy, spreading an object over more of them only adds cold,
 slow requests."""
 
+HOME_LOAD_FRACTION = 0.6
+"""Load by one object, as a fraction of a target's slots, for which the object
+has one home. In the replay, 0.5 cost evenly requested objects more cold runs
+and 0.7 left objects in demand waiting."""
+
+MAX_HOMES = 16
+"""Largest number of homes of an object. Eight were too few at 2.5 times the
+usual load for an object with a seventh of the requests of 90 targets."""
+
 RUN_TIME_MARGIN = 1.2
 """Multiple of the expected run time that must be left after the queue, because
 a request that is given up while it runs has cost a slot for nothing."""
@@ -138,20 +157,48 @@
     yet to return."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Knowledge:
+    """What one decision is based on, beside the criteria."""
+
+    estimates: ServiceEstimates
+    usual_loads: Mapping[RegionId, float] = field(default_factory=dict)
+    """Load of a target that has not reported its own, by region."""
+
+    homes: int = 1
+    """Number of first targets between which requests for the object turn."""
+
+    turn: int = 0
+
+    def load(self, state: TargetState) -> float:
+        """Return the estimated number of requests at a target."""
+        usual = self.usual_loads.get(state.entry.region, 0)
+        return state.load(self.estimates.now, usual)
+
+    def expected_wait(self, state: TargetState) -> timedelta:
+        """Return the estimated time in a target's queue."""
+        slots = max(1, state.entry.slots)
+        ahead = self.load(state) + FREE_SLOT_MARGIN - slots
+        wait = self.estimates.mean_run_time * (ahead / slots)
+        return max(timedelta(), wait)
+
+
 def choose_target(
     criteria: PlacementCriteria,
     targets: ServiceTargets,
     estimates: ServiceEstimates,
 ) -> Choice | Refusal:
     """Choose one of a service's targets, or reject the request."""
-    candidates = _candidates(criteria, targets, estimates)
+    known = _knowledge(criteria, targets, estimates)
+    limit = max(MAX_CANDIDATES, known.homes)
+    candidates = _candidates(criteria, targets, estimates, limit)
     if not candidates:
         return _refuse_without_target(criteria, targets, estimates)
     options = [
-        _option(state, rank, criteria, estimates)
+        _option(state, rank, criteria, known)
         for rank, state in enumerate(candidates)
     ]
-    chosen = _best(options, estimates)
+    chosen = _best(options, known)
     if chosen.expected_wait > _max_wait(chosen, criteria, estimates):
         retry_after = min(
             max(chosen.expected_wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX
@@ -177,51 +224,92 @@
     return max(in_objective, min(late, before_timeout))
 
 
+def _knowledge(
+    criteria: PlacementCriteria,
+    targets: ServiceTargets,
+    estimates: ServiceEstimates,
+) -> _Knowledge:
+    demand = criteria.demand
+    if demand is None or not targets.states:
+        return _Knowledge(estimates)
+    usual_loads = targets.usual_loads(estimates.now)
+    homes = _count_homes(criteria, demand.share, targets, usual_loads)
+    return _Knowledge(estimates, usual_loads, homes, demand.turn)
+
+
+def _count_homes(
+    criteria: PlacementCriteria,
+    share: float,
+    targets: ServiceTargets,
+    usual_loads: Mapping[RegionId, float],
+) -> int:
+    """Return how many targets the requests for the object fill.
+
+    All homes are in the region of the first target, so that no request changes
+    region because of a change in demand.
+    """
+    order = targets.order(
+        criteria.object_key,
+        criteria.region,
+        criteria.evacuated_availability_zones,
+    )
+    if not share or not order:
+        return 1
+    first = order[0].entry
+    count = targets.count_in(first.region)
+    load = share * usual_loads.get(first.region, 0) * count
+    homes = math.ceil(load / (max(1, first.slots) * HOME_LOAD_FRACTION))
+    return max(1, min(homes, count, MAX_HOMES))
+
+
 def _option(
     state: TargetState,
     rank: int,
     criteria: PlacementCriteria,
-    estimates: ServiceEstimates,
+    known: _Knowledge,
 ) -> Choice:
     familiarity = Familiarity.OTHER
-    if state.knows(criteria.object_key):
+    is_home = known.homes > 1 and rank < known.homes
+    if is_home or state.knows(criteria.object_key):
         familiarity = Familiarity.REPEATED
     elif state.has_started(criteria.object_key):
         familiarity = Familiarity.STARTED
     elif rank == 0:
         familiarity = Familiarity.PREFERRED
+    estimates = known.estimates
     slowdown = state.slowdown.at(estimates.now)
-    wait = _expected_wait(state, estimates.mean_run_time, estimates.now)
     return Choice(
         state,
         rank,
         familiarity,
-        wait * slowdown,
+        known.expected_wait(state) * slowdown,
         estimates.run_times.expected(familiarity) * slowdown,
     )
 
 
-def _best(options: Sequence[Choice], estimates: ServiceEstimates) -> Choice:
+def _best(options: Sequence[Choice], known: _Knowledge) -> Choice:
     """Return the first target unless another one is clearly better.
 
     A target that this VM knows to be warm for the object is used when it
     responds earlier. Any other one has to run the object cold, which takes
     time from its own objects, and is used only while it has slots to spare.
     """
+    turn = known.turn % known.homes
+    in_turn = (*options[turn : known.homes], *options[:turn])
     best = min(
         (
             option
-            for option in options
-            if option.rank == 0 or option.familiarity in _SENT_BEFORE
+            for option in (*in_turn, *options[known.homes :])
+            if option.rank < known.homes or option.familiarity in _SENT_BEFORE
         ),
         key=lambda option: option.expected_duration,
     )
-    if best.expected_wait <= estimates.mean_run_time * MAX_WARM_WAIT_FRACTION:
+    mean_run_time = known.estimates.mean_run_time
+    if best.expected_wait <= mean_run_time * MAX_WARM_WAIT_FRACTION:
         return best
-    for option in options[1:]:
+    for option in options[known.homes :]:
         slots = option.state.entry.slots
-        load = option.state.load(estimates.now)
-        if load <= slots * SPILLOVER_LOAD_FRACTION:
+        if known.load(option.state) <= slots * SPILLOVER_LOAD_FRACTION:
             return option
     return best
 
@@ -230,6 +318,7 @@
     criteria: PlacementCriteria,
     targets: ServiceTargets,
     estimates: ServiceEstimates,
+    limit: int,
 ) -> Sequence[TargetState]:
     """Return the first allowed targets, failing and silent ones last."""
     now = estimates.now
@@ -248,9 +337,9 @@
             failing.append(state)
             continue
         healthy.append(state)
-        if len(healthy) == MAX_CANDIDATES:
+        if len(healthy) == limit:
             return healthy
-    return (healthy + failing)[:MAX_CANDIDATES]
+    return (healthy + failing)[:limit]
 
 
 def _is_failing(
@@ -301,13 +390,3 @@
         RefusalReason.PAUSED,
         min(max(left, RETRY_AFTER_MIN), RETRY_AFTER_MAX),
     )
-
-
-def _expected_wait(
-    state: TargetState,
-    mean_run_time: timedelta,
-    now: timedelta,
-) -> timedelta:
-    slots = max(1, state.entry.slots)
-    ahead = state.load(now) + FREE_SLOT_MARGIN - slots
-    return max(timedelta(), mean_run_time * (ahead / slots))
--- a/libraries/placement/plantainstand_placement/_criteria.py
+++ b/libraries/placement/plantainstand_placement/_criteria.py
@@ -7,6 +7,7 @@
 
 from plantainstand_placement._cold import ColdRequestShare
 from plantainstand_placement._cold_knowledge import ListReading
+from plantainstand_placement._object_demand import DemandEstimate
 from plantainstand_placement._request_limits import RequestLimits
 
 
@@ -35,6 +36,9 @@
     request_limits: RequestLimits
     """Requests that this VM may send to targets that state limits."""
 
+    demand: DemandEstimate | None = None
+    """Demand for the object; None if the request states no object."""
+
     list_reading: ListReading | None = None
     """Newest reading of the platform's list; without it, all targets count as
     warm that are not known to be cold."""
--- a/libraries/placement/plantainstand_placement/_service_targets.py
+++ b/libraries/placement/plantainstand_placement/_service_targets.py
@@ -1,6 +1,7 @@
 """The targets of one service and their order for each object."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
@@ -30,6 +31,13 @@
 """Time for which a computed limit is reused: short beside the seconds in which
 the moving failure rates change much."""
 
+USUAL_LOADS_LIFETIME = timedelta(milliseconds=100)
+"""Time for which computed means of the load are reused, for the same reason."""
+
+MIN_REPORT_WEIGHT = 0.5
+"""Weight of an assumed idle target in a mean of reports, so that the mean fades
+when no reports arrive: a VM that rejects all requests would learn nothing."""
+
 _HASH_SPAN = 2**64
 
 
@@ -40,9 +48,12 @@
         """Hold the targets of a service that are not draining."""
         self._states = tuple(states)
         self._slots = tuple(_slots(state) for state in self._states)
+        self._counts = Counter(state.entry.region for state in self._states)
         self._orders: dict[object, Sequence[TargetState]] = {}
         self._failure_limit = GREY_FAILURE_RATE
         self._failure_limit_until: timedelta | None = None
+        self._usual_loads: Mapping[RegionId, float] = {}
+        self._usual_loads_until: timedelta | None = None
 
     @property
     def states(self) -> Sequence[TargetState]:
@@ -68,6 +79,18 @@
             self._failure_limit_until = now + FAILURE_LIMIT_LIFETIME
         return self._failure_limit
 
+    def usual_loads(self, now: timedelta) -> Mapping[RegionId, float]:
+        """Return the mean load by region that targets reported lately."""
+        valid_until = self._usual_loads_until
+        if valid_until is None or now > valid_until:
+            self._usual_loads = _mean_loads(self._states, now)
+            self._usual_loads_until = now + USUAL_LOADS_LIFETIME
+        return self._usual_loads
+
+    def count_in(self, region: RegionId) -> int:
+        """Return the number of targets in a region."""
+        return self._counts.get(region, 0)
+
     def order(
         self,
         object_key: bytes,
@@ -102,6 +125,20 @@
         ]
 
 
+def _mean_loads(
+    states: Sequence[TargetState], now: timedelta
+) -> Mapping[RegionId, float]:
+    loads: dict[RegionId, float] = {}
+    weights: dict[RegionId, float] = {}
+    for state in states:
+        weight = state.others.weight(now)
+        place = state.entry.region
+        load = state.in_flight + state.others.last
+        loads[place] = loads.get(place, 0) + weight * load
+        weights[place] = weights.get(place, MIN_REPORT_WEIGHT) + weight
+    return {place: load / weights[place] for place, load in loads.items()}
+
+
 def _order_targets(
     object_key: bytes,
     region: RegionId,
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -10,15 +10,11 @@
 
 from plantainstand_placement._cold_knowledge import ColdKnowledge
 from plantainstand_placement._recent_sends import RecentSends
+from plantainstand_placement._reported_load import ReportedLoad
 from plantainstand_placement._slowdown import USUAL_SLOWDOWN, ReportedSlowdown
 
 _NEVER = timedelta.min
 
-LOAD_REPORT_HALF_LIFE = timedelta(milliseconds=1500)
-"""Age at which a report of the load that other VMs cause counts half. With less
-than a second, a report is forgotten between two responses of a busy target, and
-all VMs send to that target at the same time."""
-
 NEWEST_RESULT_WEIGHT = 0.15
 """Weight of the newest result in the moving average of failures."""
 
@@ -72,8 +68,7 @@
         self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
         self.slowdown = ReportedSlowdown()
-        self._other_load = float(0)
-        self._other_load_at = now
+        self.others = ReportedLoad(now)
         self._failure_rate = float(0)
         self._failure_rate_at = now
         self._backoff_until = _NEVER
@@ -103,10 +98,12 @@
         if not self.knows(object_key):
             self._known_objects.pop(object_key, None)
 
-    def load(self, now: timedelta) -> float:
-        """Return the estimated number of requests at the target."""
-        age = (now - self._other_load_at) / LOAD_REPORT_HALF_LIFE
-        return self.in_flight + self._other_load * _decay(age)
+    def load(self, now: timedelta, usual: float = 0) -> float:
+        """Return the estimated number of requests at the target.
+
+        ``usual`` is the load by other VMs that is assumed without a report.
+        """
+        return self.in_flight + self.others.at(now, usual)
 
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target may be cold."""
@@ -197,8 +194,7 @@
 
     def _record_report(self, now: timedelta, report: LoadReport) -> None:
         load = report.running + report.waiting - self.in_flight
-        self._other_load = max(float(0), load)
-        self._other_load_at = now
+        self.others.record(now, load)
         self.slowdown.record(now, report.slowdown)
 
 
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -19,9 +19,11 @@
 from plantainstand_placement import (
     Choice,
     ColdRequestShare,
+    DemandEstimate,
     Familiarity,
     FleetShare,
     LoadReport,
+    ObjectDemand,
     PlacementCriteria,
     Refusal,
     RequestLimits,
@@ -52,6 +54,7 @@
 
     region: RegionId
     targets: ServiceTargets
+    demand: ObjectDemand = field(default_factory=ObjectDemand)
     run_times: RunTimes = field(default_factory=RunTimes)
     mean_run_time: timedelta = timedelta(milliseconds=200)
 
@@ -73,6 +76,7 @@
     object_key: bytes
     vm: ReplayedVm
     rank: int = 0
+    demand: DemandEstimate | None = None
     choice: Choice | None = None
     sent: timedelta = ZERO
     tried: set[TargetId] = field(default_factory=set)
@@ -228,6 +232,8 @@
             vm,
             self._random.choices(range(len(ranks)), ranks)[0],
         )
+        if self._load.counts_objects:
+            request.demand = vm.demand.count(request.object_key)
         self.result.arrived += 1
         self.result.arrived_at[int(elapsed)] += 1
         self.result.arrived_of[request.rank] += 1
@@ -245,6 +251,7 @@
             cold_share=ColdRequestShare(0, _NO_SHARE),
             request_limits=RequestLimits(vm.region, _NO_SHARE),
             tried_targets=frozenset(request.tried),
+            demand=request.demand,
         )
         estimates = ServiceEstimates(
             self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
--- a/tests/placement/replayed_load.py
+++ b/tests/placement/replayed_load.py
@@ -31,6 +31,9 @@
     shared_objects: bool = True
     """Whether all regions request the same objects."""
 
+    counts_objects: bool = True
+    """Whether the demand for objects is known to the decisions."""
+
     skew: float = 0
     """Exponent of the Zipf distribution of requests over objects."""
 
