--- a/libraries/edge/plantainstand_edge/_attempts.py
+++ b/libraries/edge/plantainstand_edge/_attempts.py
@@ -21,7 +21,6 @@
 )
 from plantainstand_placement import (
     Choice,
-    LoadReport,
     LongestDurations,
     RunTimes,
     TargetState,
@@ -207,7 +206,9 @@
             active.last_error_response = response
             return None
         if not failed:
-            self._record_run(active, choice, now - started, stated.load)
+            run = now - started - choice.expected_wait
+            self._durations.service_times.record(active.service, run)
+            self._durations.run_times.record(route, choice.familiarity, run)
         self._request_log.record_request(active, response.status, 'answered')
         if response.rest is not None:
             response.rest.when_closed(
@@ -215,22 +216,6 @@
             )
         return forward_response(response)
 
-    def _record_run(
-        self,
-        active: ActiveRequest,
-        choice: Choice,
-        duration: timedelta,
-        load: LoadReport | None,
-    ) -> None:
-        """Record the time of a run as of a target at its usual speed."""
-        run = duration - choice.expected_wait
-        if load is not None:
-            run = load.usual_time(run)
-        self._durations.service_times.record(active.service, run)
-        self._durations.run_times.record(
-            active.match.name, choice.familiarity, run
-        )
-
     def _record_statements(
         self,
         active: ActiveRequest,
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -50,10 +50,6 @@
     slowdown: float = USUAL_SLOWDOWN
     """How many times as long as usual work takes on its machine now."""
 
-    def usual_time(self, duration: timedelta) -> timedelta:
-        """Return how long a run of ``duration`` takes at usual speed."""
-        return duration / self.slowdown
-
 
 class TargetState:
     """Load and health of a target, from own results and its reports."""
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -58,11 +58,9 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     mean_run_time: timedelta = timedelta(milliseconds=200)
 
-    def record(
-        self, choice: Choice, duration: timedelta, report: LoadReport
-    ) -> None:
+    def record(self, choice: Choice, duration: timedelta) -> None:
         """Add the time from sending a request to its response."""
-        run = report.usual_time(duration - choice.expected_wait)
+        run = duration - choice.expected_wait
         self.run_times.record(ROUTE, choice.familiarity, run)
         run = max(run, timedelta(milliseconds=1))
         self.mean_run_time += (run - self.mean_run_time) * 0.05
@@ -366,7 +364,7 @@
         state.record_ended()
         state.record_response(self._now, report, failed=False)
         state.record_object(request.object_key, responded=True)
-        request.vm.record(choice, self._now - request.sent, report)
+        request.vm.record(choice, self._now - request.sent)
 
     def _time_out(self, request: ReplayedRequest, choice: Choice) -> None:
         if request.has_ended:
