Platform: accept versions of 19 digits, as of nanoseconds

Cause: the bound of 18 digits refused versions that are times in nanoseconds; 19 digits fit into 64 bits. Result: test_whole_numbers_fit_into_the_log.

--- a/tests/platform_adapter/test_items.py
+++ b/tests/platform_adapter/test_items.py
@@ -204,7 +204,7 @@
 
     def test_whole_numbers_fit_into_the_log(self) -> None:
         """Guards against a change that is decoded but cannot be encoded."""
-        body = _tenant_patch(priority=2**31 - 1, version=f'r{10**18 - 1}')
+        body = _tenant_patch(priority=2**31 - 1, version=f'r{10**19 - 1}')
         self.assertTrue(
             encode_command(ChangeItems(decode_patch(body).unwrap()))
         )
