Exchange the loads of targets among entry VMs

Cause: with about 100 entry VMs, one VM sends to a target once in several seconds. What it learned of the target's load has faded by then, so it sees no queue where requests wait.

Change: entry VMs report the newest load of each target that states its speed (EntryReport.loads). Control VMs keep the newest for 2 s; the leader sends what changed twice a second (LoadUpdate), only on links on which loads were reported, since an earlier process would close its link. A VM takes a load over if it is newer than its own by more than the time on the links, less its own requests that were in flight at that time.

LoadReport.states_speed tells a stated usual speed from none; the test of the load header checks it, where it compared only the figures before.

--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -8,7 +8,6 @@
 from http import HTTPStatus
 from types import MappingProxyType
 
-import msgspec
 import structlog
 from plantainstand_consensus import (
     LogReplica,
@@ -42,6 +41,7 @@
 from plantainstand_control._directory import ClientLocation, choose_entry_vms
 from plantainstand_control._entries import EntryRegistry
 from plantainstand_control._limits import LimitExchange
+from plantainstand_control._loads import LoadExchange
 from plantainstand_control._members import (
     AbsenceRecord,
     MembershipView,
@@ -177,6 +177,7 @@
         self._entries = EntryRegistry(self._peers.broadcast)
         self._absences = AbsenceRecord(clock)
         self._limits = LimitExchange(clock)
+        self._loads = LoadExchange(clock)
         self._rosters = RosterSender(
             RosterInputs(
                 self._peers,
@@ -256,6 +257,7 @@
             self._replicas.log_status_changes()
             self._send_rosters()
             self._send_desired_to_all()
+            self._loads.send(leads=self._replicas.leader == self._peers.own)
             await self._change_members()
             await asyncio.sleep(SUPERVISION_INTERVAL.total_seconds())
 
@@ -349,7 +351,7 @@
             case EntryReport():
                 if self._limits.record_report(peer.vm, message.limits):
                     self._send_rosters()
-                report = msgspec.structs.replace(message, limits=())
+                report = self._loads.record_report(link, message)
                 self._entries.record_report(link, peer.vm, report)
             case EntryChanges():
                 self._peers.record_message(peer.vm)
@@ -372,6 +374,7 @@
         self._link_peers.pop(link, None)
         self._entries.remove_link(link)
         self._rosters.forget(link)
+        self._loads.forget(link)
         self._account_answers.forget(link)
 
     def _schedule_publish(self) -> None:
--- a/libraries/edge/plantainstand_edge/_control_links.py
+++ b/libraries/edge/plantainstand_edge/_control_links.py
@@ -15,7 +15,9 @@
     EntryReport,
     Hello,
     LimitStatement,
+    LoadUpdate,
     Roster,
+    TargetLoad,
     TargetUpdate,
     VmRole,
     decode_fleet_message,
@@ -32,6 +34,7 @@
 )
 from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._settings import EntrySettings
+from plantainstand_edge._shared_loads import SharedLoads
 from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
@@ -55,6 +58,7 @@
     fleet_view: FleetView
     target_limits: TargetLimits
     account_questions: AccountQuestions
+    shared_loads: SharedLoads
 
 
 class ControlLinks:
@@ -108,7 +112,10 @@
         """Report this VM's readiness to all connected control VMs."""
         self._ready = ready
         self._update_links()
-        frame = self._report_frame(self._state.target_limits.take_unreported())
+        frame = self._report_frame(
+            self._state.target_limits.take_unreported(),
+            self._state.shared_loads.take_unreported(),
+        )
         for link in self._links.values():
             link.send(frame)
 
@@ -117,7 +124,11 @@
         for task in self._tasks.values():
             task.cancel()
 
-    def _report_frame(self, limits: tuple[LimitStatement, ...] = ()) -> bytes:
+    def _report_frame(
+        self,
+        limits: tuple[LimitStatement, ...] = (),
+        loads: tuple[TargetLoad, ...] = (),
+    ) -> bytes:
         settings = self._settings
         return encode_fleet_message(
             EntryReport(
@@ -127,6 +138,7 @@
                 self._ready,
                 limits,
                 self._state.fleet_view.counted_digest,
+                loads,
             ),
         )
 
@@ -213,6 +225,8 @@
                 self._apply_roster(vm, roster)
             case AccountAnswer() as answer:
                 self._state.account_questions.receive(answer)
+            case LoadUpdate() as update:
+                self._state.shared_loads.receive(update)
             case _:
                 _log.warning('unexpected message', control=vm)
 
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -31,6 +31,7 @@
 from plantainstand_edge._header_codec import HeaderCodec
 from plantainstand_edge._probes import TargetProbes
 from plantainstand_edge._settings import EntrySettings
+from plantainstand_edge._shared_loads import SharedLoads
 from plantainstand_edge._steering import RequestSteering, SteeringInputs
 from plantainstand_edge._target_limits import TargetLimits
 
@@ -94,6 +95,15 @@
         'plantainstand_entry_exhausted_accounts': (
             'Accounts that have reached their limits at this VM.'
         ),
+        'plantainstand_entry_load_update_age_seconds': (
+            'Time since the newest update with loads of targets.'
+        ),
+        'plantainstand_entry_loads_received': (
+            'Loads of targets in updates of the leader.'
+        ),
+        'plantainstand_entry_loads_taken': (
+            'Those that were newer than what this VM knew.'
+        ),
         'plantainstand_entry_body_bytes': 'Request bodies held, in bytes.',
         'plantainstand_entry_client_pauses': (
             'Pauses in reading clients that send small pieces.'
@@ -158,6 +168,7 @@
         self._status_server = HttpServer(
             self._answer_status, clock, limits=SHORT_CALLS
         )
+        self._shared_loads = SharedLoads(self._target_table, clock)
         self._links = ControlLinks(
             settings,
             ControlPlaneState(
@@ -166,6 +177,7 @@
                 self._fleet_view,
                 self._target_limits,
                 self._accounts.questions,
+                self._shared_loads,
             ),
             clock,
             self._handle_change,
@@ -319,6 +331,7 @@
             'client_pauses': self._server.pause_count,
             'target_pauses': self._pool.pause_count,
             **self._accounts.readings(now),
+            **self._shared_loads.readings(),
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
--- a/libraries/fleet/plantainstand_fleet/__init__.py
+++ b/libraries/fleet/plantainstand_fleet/__init__.py
@@ -1,11 +1,11 @@
 """Messages between entry VMs and control VMs."""
 
+from plantainstand_fleet._allotments import Allotment, AllotmentUse
 from plantainstand_fleet._listing import TargetListing
+from plantainstand_fleet._loads import NewestLoads, TargetLoad
 from plantainstand_fleet._messages import (
     AccountAnswer,
     AccountQuestion,
-    Allotment,
-    AllotmentUse,
     ControlVm,
     DesiredUpdate,
     EntryChanges,
@@ -13,6 +13,7 @@
     FleetMessage,
     Hello,
     LimitStatement,
+    LoadUpdate,
     ReplicaMessage,
     Roster,
     TargetEntry,
@@ -46,6 +47,8 @@
     'Hello',
     'KnownLimit',
     'LimitStatement',
+    'LoadUpdate',
+    'NewestLoads',
     'ReplicaMessage',
     'Roster',
     'SharingRegion',
@@ -53,6 +56,7 @@
     'StatementKey',
     'TargetEntry',
     'TargetListing',
+    'TargetLoad',
     'TargetUpdate',
     'VmRole',
     'VmSeed',
--- a/libraries/fleet/plantainstand_fleet/_messages.py
+++ b/libraries/fleet/plantainstand_fleet/_messages.py
@@ -10,9 +10,11 @@
     TargetId,
     VmId,
 )
-from plantainstand_desired import AccountName, EvacuationItem, Item
+from plantainstand_desired import EvacuationItem, Item
 from result import Err, Ok, Result
 
+from plantainstand_fleet._allotments import Allotment, AllotmentUse
+from plantainstand_fleet._loads import TargetLoad
 from plantainstand_fleet._sharing import SharingRegion
 
 
@@ -75,6 +77,11 @@
     counted_digest: int = 0
     """Digest of the VMs that the VM counts as sharing limits; 0 for none."""
 
+    loads: tuple[TargetLoad, ...] | None = None
+    """Newest loads in the responses that the VM received since its last report.
+    None if its process is of a build that does not know :class:`LoadUpdate`, or
+    if a control VM passes the report on."""
+
 
 class TargetEntry(msgspec.Struct, frozen=True, array_like=True):
     """A target on the platform's list."""
@@ -179,23 +186,6 @@
     payload: bytes
 
 
-class AllotmentUse(msgspec.Struct, frozen=True, array_like=True):
-    """What an entry VM has of an account's limit, and what it wants."""
-
-    account: AccountName
-    allotment: int
-    """Runs that the VM may begin in any window."""
-
-    committed: int
-    """The larger of the allotment and the runs in the newest window."""
-
-    demand: int
-    """Runs and rejections in the newest window."""
-
-    waiting: int = 0
-    """Requests that wait for the answer."""
-
-
 class AccountQuestion(_Message, frozen=True):
     """Asks the leader for the newest change of accounts and for allotments."""
 
@@ -213,21 +203,6 @@
     """Entry VM that asks, if a control VM forwards the question."""
 
 
-class Allotment(msgspec.Struct, frozen=True, array_like=True):
-    """Part of an account's limit that one entry VM gets."""
-
-    account: AccountName
-    amount: int
-    """Runs that the VM may begin in any window."""
-
-    is_exhausted: bool = False
-    """Whether nothing more of the limit is free now."""
-
-    is_scarce: bool = False
-    """Whether VMs want more than the limit, so that unused parts of allotments
-    are to be returned."""
-
-
 class AccountAnswer(_Message, frozen=True):
     """The leader's answer to an :class:`AccountQuestion`."""
 
@@ -249,6 +224,12 @@
     """Process that asked."""
 
 
+class LoadUpdate(_Message, frozen=True):
+    """Loads that changed, sent by the leader to entry VMs that report loads."""
+
+    loads: tuple[TargetLoad, ...]
+
+
 FleetMessage = (
     Hello
     | EntryReport
@@ -259,6 +240,7 @@
     | ReplicaMessage
     | AccountQuestion
     | AccountAnswer
+    | LoadUpdate
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -18,6 +18,7 @@
 )
 from plantainstand_placement._eligibility import cold_limit, targets_to_probe
 from plantainstand_placement._fleet_share import FleetShare
+from plantainstand_placement._other_load import LoadReport
 from plantainstand_placement._pauses import pause_target
 from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
@@ -27,8 +28,9 @@
     RunTimes,
 )
 from plantainstand_placement._service_targets import ServiceTargets
+from plantainstand_placement._shared_loads import record_shared_load
 from plantainstand_placement._split import TrafficSplitter
-from plantainstand_placement._target import LoadReport, TargetState
+from plantainstand_placement._target import TargetState
 
 __all__ = (
     'Choice',
@@ -57,5 +59,6 @@
     'cold_limit',
     'ends_before_exit',
     'pause_target',
+    'record_shared_load',
     'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_board.py
+++ b/libraries/placement/plantainstand_placement/_board.py
@@ -4,11 +4,20 @@
 from datetime import timedelta
 
 from plantainstand_core import ServiceId, TargetId, VmId
-from plantainstand_fleet import TargetEntry, TargetListing, TargetUpdate
+from plantainstand_fleet import (
+    TargetEntry,
+    TargetListing,
+    TargetLoad,
+    TargetUpdate,
+)
 
 from plantainstand_placement._cold_knowledge import ListReading
 from plantainstand_placement._recent_sends import LONGEST_SPAN, RecentSends
 from plantainstand_placement._service_targets import ServiceTargets
+from plantainstand_placement._shared_loads import (
+    record_shared_loads,
+    take_unreported_loads,
+)
 from plantainstand_placement._target import TargetState
 
 _NEVER = timedelta.min
@@ -82,6 +91,16 @@
         if len(self._lists) > 1:
             self._lists.pop(source, None)
 
+    def take_unreported_loads(self, now: timedelta) -> tuple[TargetLoad, ...]:
+        """Return the newest own loads that no report has contained yet."""
+        return take_unreported_loads(self._states.values(), now)
+
+    def record_shared_loads(
+        self, loads: Sequence[TargetLoad], now: timedelta
+    ) -> int:
+        """Take over newer loads that other VMs read; return their number."""
+        return record_shared_loads(self._states, loads, now)
+
     def mark_cold(
         self, states: Sequence[TargetState], until: timedelta
     ) -> None:
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -2,23 +2,18 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
 from datetime import timedelta
 
 import xxhash
 from plantainstand_fleet import TargetEntry
 
 from plantainstand_placement._cold_knowledge import ColdKnowledge
+from plantainstand_placement._other_load import LoadReport, OtherLoad
 from plantainstand_placement._recent_sends import RecentSends
-from plantainstand_placement._slowdown import USUAL_SLOWDOWN, ReportedSlowdown
+from plantainstand_placement._slowdown import ReportedSlowdown
 
 _NEVER = timedelta.min
 
-LOAD_REPORT_HALF_LIFE = timedelta(milliseconds=1500)
-"""Age at which a report of the load that other VMs cause counts half. With less
-than a second, a report is forgotten between two responses of a busy target, and
-all VMs send to that target at the same time."""
-
 NEWEST_RESULT_WEIGHT = 0.15
 """Weight of the newest result in the moving average of failures."""
 
@@ -44,21 +39,6 @@
 """Objects of one target that are remembered, the ones sent last."""
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Load that a target reports: requests running and waiting, and slots."""
-
-    running: int
-    waiting: int
-    slots: int
-    slowdown: float = USUAL_SLOWDOWN
-    """How many times as long as usual work takes on its machine now."""
-
-    def usual_time(self, duration: timedelta) -> timedelta:
-        """Return how long a run of ``duration`` takes at usual speed."""
-        return duration / self.slowdown
-
-
 class TargetState:
     """Load and health of a target, from own results and its reports."""
 
@@ -72,8 +52,7 @@
         self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
         self.slowdown = ReportedSlowdown()
-        self._other_load = float(0)
-        self._other_load_at = now
+        self.other_load = OtherLoad(now)
         self._failure_rate = float(0)
         self._failure_rate_at = now
         self._backoff_until = _NEVER
@@ -105,8 +84,7 @@
 
     def load(self, now: timedelta) -> float:
         """Return the estimated number of requests at the target."""
-        age = (now - self._other_load_at) / LOAD_REPORT_HALF_LIFE
-        return self.in_flight + self._other_load * _decay(age)
+        return self.in_flight + self.other_load.at(now)
 
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target may be cold."""
@@ -196,9 +174,7 @@
         self._failure_rate_at = now
 
     def _record_report(self, now: timedelta, report: LoadReport) -> None:
-        load = report.running + report.waiting - self.in_flight
-        self._other_load = max(float(0), load)
-        self._other_load_at = now
+        self.other_load.record_own(now, report, self.in_flight)
         self.slowdown.record(now, report.slowdown)
 
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -8,6 +8,7 @@
     EntryReport,
     LimitStatement,
     Roster,
+    TargetLoad,
     decode_fleet_message,
     encode_fleet_message,
 )
@@ -42,7 +43,19 @@
         """An older process reads the first fields and ignores the others."""
         limits = (LimitStatement(TargetId('t1'), 1, 6.5, 0),)
         roster = Roster((), 9, 3, 4, 2, limits)
-        fields = msgspec.msgpack.decode(encode_fleet_message(roster))
-        self.assertEqual(fields[1:4], [[], 9, 3])
-        longer = msgspec.msgpack.encode([*fields, 'later field'])
-        self.assertEqual(decode_fleet_message(longer).unwrap(), roster)
+        report = EntryReport(
+            '10.0.0.9:80',
+            AvailabilityZoneId('norte-a'),
+            RegionId('norte'),
+            ready=True,
+            loads=(TargetLoad(TargetId('t1'), 1, 4, 2, 250, 100),),
+        )
+        for message, known in (
+            (roster, [[], 9, 3]),
+            (report, [*_REPORT_FIELDS, [], 0]),
+        ):
+            with self.subTest(type(message).__name__):
+                fields = msgspec.msgpack.decode(encode_fleet_message(message))
+                self.assertEqual(fields[1 : len(known) + 1], known)
+                longer = msgspec.msgpack.encode([*fields, 'later field'])
+                self.assertEqual(decode_fleet_message(longer).unwrap(), message)
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -9,9 +9,10 @@
 import heapq
 import random
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from itertools import accumulate
 
 from plantainstand_core import AvailabilityZoneId, RegionId, ServiceId, TargetId
@@ -29,9 +30,14 @@
     ServiceEstimates,
     ServiceTargets,
     TargetState,
+    record_shared_load,
 )
 
-from tests.placement.replayed_load import COLD_START, ReplayedLoad
+from tests.placement.replayed_load import (
+    COLD_START,
+    LoadExchange,
+    ReplayedLoad,
+)
 
 REGIONS = (RegionId('bajio'), RegionId('norte'), RegionId('occidente'))
 _NO_SHARE = FleetShare(None, {})
@@ -54,6 +60,19 @@
     targets: ServiceTargets
     run_times: RunTimes = field(default_factory=RunTimes)
     mean_run_time: timedelta = timedelta(milliseconds=200)
+    unreported: dict[TargetId, tuple[timedelta, LoadReport]] = field(
+        default_factory=dict
+    )
+    """Newest load of each target that answered since the last report."""
+
+    def receive(
+        self, loads: Mapping[TargetId, tuple[timedelta, LoadReport]]
+    ) -> None:
+        """Take over loads of an update."""
+        for state in self.targets.states:
+            known = loads.get(state.entry.target)
+            if known is not None:
+                record_shared_load(state, known[1], known[0])
 
     def record(
         self, choice: Choice, duration: timedelta, report: LoadReport
@@ -164,9 +183,12 @@
         choose: ChooseTarget,
         seed: int,
         load: ReplayedLoad = COLD_START,
+        exchange: LoadExchange | None = None,
     ):
         self.result = ReplayResult()
         self._load = load
+        self._exchange = exchange
+        self._collected: dict[TargetId, tuple[timedelta, LoadReport]] = {}
         self._choose = choose
         self._random = random.Random(seed)  # noqa: S311
         self._start = timedelta(seconds=1)
@@ -193,6 +215,8 @@
         self._at(self._now, lambda: self._arrive(end))
         if self._load.slow is not None:
             self._at(self._now, lambda: self._draw_slow(end))
+        if self._exchange is not None:
+            self._begin_exchange(self._exchange, end)
         while self._events:
             event = heapq.heappop(self._events)
             self._now = event[0]
@@ -203,6 +227,65 @@
         self._sequence += 1
         heapq.heappush(self._events, (moment, self._sequence, action))
 
+    def _begin_exchange(self, exchange: LoadExchange, end: timedelta) -> None:
+        """Let VMs report one after the other; updates go to all at once."""
+        for number, vm in enumerate(self._vms):
+            phase = exchange.period * (number / len(self._vms))
+            self._repeat(
+                self._now + phase,
+                exchange.period,
+                end,
+                partial(self._report_loads, vm, exchange),
+            )
+        self._repeat(
+            self._now,
+            exchange.period,
+            end,
+            partial(self._send_loads, exchange),
+        )
+
+    def _repeat(
+        self,
+        first: timedelta,
+        period: timedelta,
+        end: timedelta,
+        action: Callable[[], None],
+    ) -> None:
+        def act() -> None:
+            action()
+            self._repeat(self._now + period, period, end, action)
+
+        if first < end:
+            self._at(first, act)
+
+    def _report_loads(self, vm: ReplayedVm, exchange: LoadExchange) -> None:
+        loads = vm.unreported
+        vm.unreported = {}
+        self._at(
+            self._now + exchange.transit,
+            lambda: self._collect(loads, exchange.transit),
+        )
+
+    def _collect(
+        self,
+        loads: Mapping[TargetId, tuple[timedelta, LoadReport]],
+        transit: timedelta,
+    ) -> None:
+        for target, (read_at, report) in loads.items():
+            known = self._collected.get(target)
+            # The time on the link is not part of the age.
+            if known is None or known[0] < read_at + transit:
+                self._collected[target] = (read_at + transit, report)
+
+    def _send_loads(self, exchange: LoadExchange) -> None:
+        loads = {
+            target: (read_at + exchange.transit, report)
+            for target, (read_at, report) in self._collected.items()
+        }
+        self._collected = {}
+        for vm in self._vms:
+            self._at(self._now + exchange.transit, partial(vm.receive, loads))
+
     def _draw_slow(self, end: timedelta) -> None:
         slow = self._load.slow
         assert slow is not None
@@ -277,6 +360,8 @@
             choice.state.record_ended()
             choice.state.forget_object(request.object_key)
             choice.state.record_rejection(self._now, report)
+            target_id = choice.state.entry.target
+            request.vm.unreported[target_id] = (self._now, report)
             if len(request.tried) < self._load.max_sends:
                 self._send(request)
                 return
@@ -358,6 +443,7 @@
         state = choice.state
         state.record_ended()
         state.record_response(self._now, report, failed=False)
+        request.vm.unreported[state.entry.target] = (self._now, report)
         state.record_object(request.object_key, responded=True)
         request.vm.record(choice, self._now - request.sent, report)
 
--- a/tests/placement/replayed_load.py
+++ b/tests/placement/replayed_load.py
@@ -14,6 +14,17 @@
     period: timedelta
 
 
+@dataclass(frozen=True)
+class LoadExchange:
+    """How entry VMs exchange the loads that targets state."""
+
+    period: timedelta
+    """Interval of each VM's reports, and of the updates to all VMs."""
+
+    transit: timedelta
+    """Time of a report, or of an update, on its link."""
+
+
 @dataclass(frozen=True)
 class ReplayedLoad:
     """Targets, entry VMs and requests of one service."""
--- a/tests/platform_adapter/test_requests.py
+++ b/tests/platform_adapter/test_requests.py
@@ -167,6 +167,10 @@
             self.assertEqual(metadata.client_timeout, expected)
 
 
+def _stated_speed(slowdown: float) -> LoadReport:
+    return LoadReport(3, 1, 8, slowdown, states_speed=True)
+
+
 class TargetTests(unittest.TestCase):
     """Guards against wrong headers to and misread headers of a target."""
 
@@ -230,20 +234,24 @@
                 self.assertEqual(metadata.load, load_report)
 
     def test_load_header(self) -> None:
-        """Guards against figures that make a target look far from its load."""
+        """Guards against figures that make a target look far from its load.
+
+        A target that states the usual speed differs from one that states none:
+        only the load of the first is exchanged.
+        """
         cases: tuple[tuple[bytes, LoadReport | None], ...] = (
             (b'3,1,8', LoadReport(3, 1, 8)),
             (b' 3 , 1 , 8 ', LoadReport(3, 1, 8)),
-            (b'3,1,8,100', LoadReport(3, 1, 8)),
-            (b'3,1,8,250', LoadReport(3, 1, 8, 2.5)),
-            (b'3,1,8, 50', LoadReport(3, 1, 8, 0.5)),
+            (b'3,1,8,100', _stated_speed(1)),
+            (b'3,1,8,250', _stated_speed(2.5)),
+            (b'3,1,8, 50', _stated_speed(0.5)),
             (b'3,1,8,0', LoadReport(3, 1, 8)),
             (b'3,1,8,00', LoadReport(3, 1, 8)),
-            (b'3,1,8,1', LoadReport(3, 1, 8, 0.1)),
-            (b'3,1,8,10', LoadReport(3, 1, 8, 0.1)),
-            (b'3,1,8,2000', LoadReport(3, 1, 8, 20)),
-            (b'3,1,8,2001', LoadReport(3, 1, 8, 20)),
-            (b'3,1,8,999999999', LoadReport(3, 1, 8, 20)),
+            (b'3,1,8,1', _stated_speed(0.1)),
+            (b'3,1,8,10', _stated_speed(0.1)),
+            (b'3,1,8,2000', _stated_speed(20)),
+            (b'3,1,8,2001', _stated_speed(20)),
+            (b'3,1,8,999999999', _stated_speed(20)),
             (b'', None),
             (b'3', None),
             (b'3,1', None),
