--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -22,6 +22,7 @@
     DemandEstimate,
     ObjectDemand,
 )
+from plantainstand_placement._other_load import LoadReport
 from plantainstand_placement._pauses import pause_target
 from plantainstand_placement._request_limits import RequestLimits
 from plantainstand_placement._returning_callers import ReturningCallers
@@ -31,8 +32,9 @@
     RunTimes,
 )
 from plantainstand_placement._service_targets import ServiceTargets
+from plantainstand_placement._shared_loads import record_shared_load
 from plantainstand_placement._split import TrafficSplitter
-from plantainstand_placement._target import LoadReport, TargetState
+from plantainstand_placement._target import TargetState
 
 __all__ = (
     'Choice',
@@ -63,5 +65,6 @@
     'cold_limit',
     'ends_before_exit',
     'pause_target',
+    'record_shared_load',
     'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_service_targets.py
+++ b/libraries/placement/plantainstand_placement/_service_targets.py
@@ -131,9 +131,9 @@
     loads: dict[RegionId, float] = {}
     weights: dict[RegionId, float] = {}
     for state in states:
-        weight = state.others.weight(now)
+        weight = state.other_load.weight(now)
         place = state.entry.region
-        load = state.in_flight + state.others.last
+        load = state.in_flight + state.other_load.last
         loads[place] = loads.get(place, 0) + weight * load
         weights[place] = weights.get(place, MIN_REPORT_WEIGHT) + weight
     return {place: load / weights[place] for place, load in loads.items()}
--- a/libraries/placement/plantainstand_placement/_target.py
+++ b/libraries/placement/plantainstand_placement/_target.py
@@ -2,16 +2,15 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
 from datetime import timedelta
 
 import xxhash
 from plantainstand_fleet import TargetEntry
 
 from plantainstand_placement._cold_knowledge import ColdKnowledge
+from plantainstand_placement._other_load import LoadReport, OtherLoad
 from plantainstand_placement._recent_sends import RecentSends
-from plantainstand_placement._reported_load import ReportedLoad
-from plantainstand_placement._slowdown import USUAL_SLOWDOWN, ReportedSlowdown
+from plantainstand_placement._slowdown import ReportedSlowdown
 
 _NEVER = timedelta.min
 
@@ -40,17 +39,6 @@
 """Objects of one target that are remembered, the ones sent last."""
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """Load that a target reports: requests running and waiting, and slots."""
-
-    running: int
-    waiting: int
-    slots: int
-    slowdown: float = USUAL_SLOWDOWN
-    """How many times as long as usual work takes on its machine now."""
-
-
 class TargetState:
     """Load and health of a target, from own results and its reports."""
 
@@ -64,7 +52,7 @@
         self.knowledge = ColdKnowledge()
         self.sends = RecentSends()
         self.slowdown = ReportedSlowdown()
-        self.others = ReportedLoad(now)
+        self.other_load = OtherLoad(now)
         self._failure_rate = float(0)
         self._failure_rate_at = now
         self._backoff_until = _NEVER
@@ -99,7 +87,7 @@
 
         ``usual`` is the load by other VMs that is assumed without a report.
         """
-        return self.in_flight + self.others.at(now, usual)
+        return self.in_flight + self.other_load.at(now, usual)
 
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target may be cold."""
@@ -189,8 +177,7 @@
         self._failure_rate_at = now
 
     def _record_report(self, now: timedelta, report: LoadReport) -> None:
-        load = report.running + report.waiting - self.in_flight
-        self.others.record(now, load)
+        self.other_load.record_own(now, report, self.in_flight)
         self.slowdown.record(now, report.slowdown)
 
 
