HTTP servers: one budget of memory and connections for a process

Cause: what clients make a process hold was bounded by request and connection only, and for bodies by 80 MiB whatever the memory is, so a process could pass memoryMb, and open more descriptors than maxFds (docs/accounts-and-load.md, section 9).

Change: ClientBudget, shared by all HTTP servers of a process, counts connections, heads, bodies, pipelined and running requests, responses and write buffers by their estimated cost. While memory is short, large requests are read in turn; beyond the limit, the requests or connections that progress least are rejected with 503 or closed; at the limit of connections, idle ones are closed for new ones. Its limits come from memoryMb and maxFds. One read buffer for each server, body blocks of one length, accepting 32 connections in a turn, and a limit on idle connections to targets keep the process within what is counted. Gauges and the log lines "client budget" and "client cut off" report it.

--- a/libraries/control/plantainstand_control/_node.py
+++ b/libraries/control/plantainstand_control/_node.py
@@ -30,7 +30,14 @@
     decode_fleet_message,
     encode_fleet_message,
 )
-from plantainstand_http import SHORT_CALLS, HttpServer, Request, Response
+from plantainstand_http import (
+    SHORT_CALLS,
+    HttpServer,
+    Request,
+    Response,
+    budget_help,
+    process_budget,
+)
 from plantainstand_links import Link, LinkCallbacks, LinkServer, LinkTimings
 from plantainstand_telemetry import Metrics
 from result import Err
@@ -73,8 +80,14 @@
 MEMBER_CHANGE_TIMEOUT = timedelta(seconds=2)
 """Longest wait until a change of the members is committed."""
 
+CLIENT_MEMORY_FRACTION = 0.25
+"""Part of the memory above the process's own start that clients may take. The
+state, its log and the links to other VMs take most of the rest; two bodies of
+the longest change take a sixteenth of the memory."""
+
 METRIC_HELP: Mapping[str, str] = MappingProxyType(
     {
+        **budget_help('plantainstand_control_'),
         'plantainstand_control_entries': 'Entry VMs that report.',
         'plantainstand_control_peers': 'Live control VMs.',
         'plantainstand_control_applied_index': 'Newest applied log index.',
@@ -175,8 +188,16 @@
         )
         self._desired_view = DesiredView()
         self._metrics = Metrics(METRIC_HELP)
+        self.clients = process_budget(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            CLIENT_MEMORY_FRACTION,
+        )
         self._metrics_server = HttpServer(
-            self._answer_metrics, clock, limits=SHORT_CALLS
+            self._answer_metrics,
+            clock,
+            limits=SHORT_CALLS,
+            clients=self.clients,
         )
         self.operator = OperatorService(
             lambda: self._replicas.replica,
@@ -411,6 +432,7 @@
                 for peer in self._link_peers.values()
             ),
             **_log_readings(self._replicas.status),
+            **self.clients.readings(),
         }
         for name, reading in readings.items():
             self._metrics.gauge(prefix + name, float(reading))
--- a/libraries/control/plantainstand_control/_settings.py
+++ b/libraries/control/plantainstand_control/_settings.py
@@ -38,3 +38,6 @@
 
     disk_bytes: int = 256_000_000
     """Disk that the data folder may take."""
+
+    max_descriptors: int = 4096
+    """Descriptors that the process may open."""
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -17,6 +17,8 @@
     Request,
     Response,
     TargetConnectionPool,
+    budget_help,
+    process_budget,
 )
 from plantainstand_placement import RetryBudgetShare, TargetTable
 from plantainstand_telemetry import Metrics
@@ -71,6 +73,11 @@
 """Ratio of the idle timeout in use to the one stated to clients, so that a
 client which keeps to the stated one never sends on a closing connection."""
 
+CLIENT_MEMORY_FRACTION = 0.75
+"""Part of the memory above the process's own start that clients may take: one
+body of 64 MiB on a machine of 152 MB. The rest is for the desired state, the
+target list, links, and what has been freed but not returned."""
+
 METRIC_HELP: Mapping[str, str] = MappingProxyType(
     {
         'plantainstand_entry_requests_total': 'Requests by outcome.',
@@ -96,6 +103,7 @@
         'plantainstand_entry_client_pauses': (
             'Pauses in reading clients that send small pieces.'
         ),
+        **budget_help('plantainstand_entry_'),
         'plantainstand_entry_target_pauses': (
             'Pauses in reading targets that send small pieces.'
         ),
@@ -123,7 +131,14 @@
             lambda control: self._links.heard_at(control),
             self._reopen_links,
         )
-        self._pool = TargetConnectionPool(clock)
+        self._clients = process_budget(
+            settings.memory_bytes,
+            settings.max_descriptors,
+            CLIENT_MEMORY_FRACTION,
+        )
+        self._pool = TargetConnectionPool(
+            clock, self._clients.max_idle_target_connections
+        )
         self._metrics = Metrics(METRIC_HELP)
         self._target_limits = TargetLimits(self._metrics, clock, self._report)
         self._probes = TargetProbes(
@@ -152,9 +167,13 @@
             clock,
             self._steering.may_overlap,
             log_id=self._steering.log_id,
+            clients=self._clients,
         )
         self._status_server = HttpServer(
-            self._answer_status, clock, limits=SHORT_CALLS
+            self._answer_status,
+            clock,
+            limits=SHORT_CALLS,
+            clients=self._clients,
         )
         self._links = ControlLinks(
             settings,
@@ -309,6 +328,7 @@
             'desired_index': self._desired_view.index,
             'body_bytes': self._server.buffered_body_bytes,
             'client_pauses': self._server.pause_count,
+            **self._clients.readings(),
             'target_pauses': self._pool.pause_count,
         }
         for name, reading in readings.items():
--- a/libraries/edge/plantainstand_edge/_settings.py
+++ b/libraries/edge/plantainstand_edge/_settings.py
@@ -37,6 +37,12 @@
     stop_grace_period: timedelta
     """Time between the order to stop and the forced end of the process."""
 
+    memory_bytes: int = 256_000_000
+    """Memory that the process may take."""
+
+    max_descriptors: int = 4096
+    """Descriptors that the process may open."""
+
     key_withdrawal_limit: timedelta | None = None
     """Longest time for which a VM without contact may use a key that was
     withdrawn; None for no limit."""
--- a/libraries/http/plantainstand_http/__init__.py
+++ b/libraries/http/plantainstand_http/__init__.py
@@ -1,6 +1,12 @@
 """HTTP/1.1 server and pooled client on one event loop."""
 
 from plantainstand_http._answer_reader import TargetResponse
+from plantainstand_http._budget import (
+    BudgetLimits,
+    ClientBudget,
+    budget_help,
+    process_budget,
+)
 from plantainstand_http._client import (
     CONNECT_TIMEOUT,
     TargetConnectionPool,
@@ -29,6 +35,8 @@
     'SHORT_CALLS',
     'TargetResponse',
     'BodyStream',
+    'BudgetLimits',
+    'ClientBudget',
     'ClientLimits',
     'ExchangeFailure',
     'FailureKind',
@@ -40,8 +48,10 @@
     'StreamEnd',
     'StreamSource',
     'TargetConnectionPool',
+    'budget_help',
     'encode_request',
     'header_value',
     'json_response',
+    'process_budget',
     'read_whole',
 )
--- a/libraries/http/plantainstand_http/_body_buffer.py
+++ b/libraries/http/plantainstand_http/_body_buffer.py
@@ -16,4 +16,5 @@
         server = self._server
         server.buffered_body_bytes += held_bytes - self._held_bytes
         self._held_bytes = held_bytes
-        return server.buffered_body_bytes > server.limits.buffered_body_bytes
+        limit = server.limits.buffered_body_bytes
+        return limit is not None and server.buffered_body_bytes > limit
--- a/libraries/http/plantainstand_http/_client.py
+++ b/libraries/http/plantainstand_http/_client.py
@@ -27,14 +27,20 @@
     return True
 
 
+MAX_IDLE_CONNECTIONS = 4096
+"""Idle connections that a pool without a stated limit keeps."""
+
+
 class TargetConnectionPool:
     """Pool of connections to targets by address; owned by one event loop."""
 
-    def __init__(self, clock: Clock):
-        """Create an empty pool."""
+    def __init__(self, clock: Clock, max_idle: int = MAX_IDLE_CONNECTIONS):
+        """Create an empty pool that keeps ``max_idle`` idle connections."""
         self._clock = clock
         self._idle: dict[str, deque[TargetConnection]] = {}
         self._budget = PieceBudget(clock)
+        self._max_idle = max_idle
+        self._idle_count = 0
         self.opened_count = 0
 
     @property
@@ -51,7 +57,7 @@
         *,
         head_only: bool = False,
         may_send: Callable[[], bool] = _always,
-        long_body: Sequence[bytes] = (),
+        long_body: Sequence[bytes | bytearray] = (),
     ) -> ExchangeResult:
         """Send a request and wait for the response.
 
@@ -111,7 +117,9 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
+        idle = self._idle.pop(address, ())
+        self._idle_count -= len(idle)
+        for connection in idle:
             connection.abort()
 
     def close(self) -> None:
@@ -123,6 +131,7 @@
         """Close connections that have exceeded their idle limit."""
         for address, idle in tuple(self._idle.items()):
             while idle and not idle[0].is_usable:
+                self._idle_count -= 1
                 idle.popleft().abort()
             if not idle:
                 self._idle.pop(address)
@@ -134,6 +143,7 @@
     ) -> Result[TargetConnection, ExchangeFailure]:
         idle = self._idle.get(address)
         while idle:
+            self._idle_count -= 1
             connection = idle.pop()
             if connection.is_usable:
                 return Ok(connection)
@@ -165,7 +175,8 @@
         return Ok(connection)
 
     def _release(self, address: str, connection: TargetConnection) -> None:
-        if connection.is_usable:
+        if connection.is_usable and self._idle_count < self._max_idle:
+            self._idle_count += 1
             self._idle.setdefault(address, deque()).append(connection)
         else:
             connection.abort()
--- a/libraries/http/plantainstand_http/_client_connection.py
+++ b/libraries/http/plantainstand_http/_client_connection.py
@@ -2,12 +2,19 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 
 import structlog
 from plantainstand_core import Clock
 
 from plantainstand_http._body_buffer import BodyBufferShare
+from plantainstand_http._budget import MemoryAccount
+from plantainstand_http._client_share import (
+    ClientParts,
+    ClientShare,
+    ShareCallbacks,
+)
 from plantainstand_http._messages import Headers, Request, Response
 from plantainstand_http._output import ClientOutput
 from plantainstand_http._pacing import PacedInput
@@ -18,6 +25,7 @@
     ServerState,
 )
 from plantainstand_http._reader import RequestReader
+from plantainstand_http._shared_buffer import SharedBufferProtocol
 from plantainstand_http._socket_queues import (
     SocketQueues,
     discard_unread,
@@ -41,14 +49,15 @@
 """Ids of unanswered requests in one log line."""
 
 RETRY_AFTER_SECONDS = b'0.5'
-"""Retry-After of a request whose body does not fit into the buffer."""
+"""Retry-After of a request that does not fit into the memory."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(SharedBufferProtocol):
     """Reads the requests of one connection and queues them for responses."""
 
     def __init__(self, server: ServerState, clock: Clock):
         """Create a protocol whose connection is opened by the event loop."""
+        super().__init__(server.read_buffer)
         self._server = server
         self._clock = clock
         events = PipelineCallbacks(
@@ -57,7 +66,8 @@
             self._end_output,
             self._handle_progress,
         )
-        self._pipeline = RequestPipeline(server, events)
+        account = MemoryAccount(server.clients)
+        self._pipeline = RequestPipeline(server, events, account)
         self._reader = RequestReader(
             clock,
             self._enqueue,
@@ -70,6 +80,15 @@
         self._body_share = BodyBufferShare(server)
         self._is_aborted = False
         self._is_finishing = False
+        self._share = ClientShare(
+            server,
+            account,
+            ClientParts(self._pipeline, self._reader, self._input),
+            ShareCallbacks(
+                partial(self._reject, HTTPStatus.SERVICE_UNAVAILABLE),
+                self.abort,
+            ),
+        )
 
     @property
     def busy(self) -> bool:
@@ -83,6 +102,11 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         self._input.open(transport)
+        if not self._share.try_open(self._clock.monotonic()):
+            # Nothing that the client has sent was read, so nothing has run.
+            self._is_aborted = True
+            transport.abort()
+            return
         self._output = ClientOutput(transport, self._clock)
         self._pipeline.open(self._output)
         self._server.connections.add(self)
@@ -100,6 +124,7 @@
             ):
                 _log_cut(cause, queues, self._server, self._pipeline)
         self._server.connections.discard(self)
+        self._share.close()
         self._transport = None
         self._input.close()
         self._output = None
@@ -120,17 +145,19 @@
         if self._output is not None:
             self._output.resume_streams()
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes | memoryview) -> None:
         """Parse bytes from the client, within its share of the loop."""
         self._last_activity = self._clock.monotonic()
+        self._share.record_received(len(chunk), self._last_activity)
         self._input.receive(chunk)
 
     def check_timeouts(self, now: timedelta) -> None:
         """Close a connection that is idle or whose client is too slow."""
         limits = self._server.limits
         output = self._output
-        if output is None:
+        if output is None or self._transport is None:
             return
+        self._share.check(self._transport.get_write_buffer_size())
         output.check_timeouts(now, limits.idle_timeout)
         if self._pipeline.is_answering or not output.is_open:
             return
@@ -167,6 +194,7 @@
             # A close with unread input would reset the connection, and the
             # kernel would drop the rest of the answer.
             discard_unread(self._transport)
+        self._stop_reading()
         self._transport.abort()
 
     def _parse(self, part: bytes | memoryview) -> int:
@@ -180,11 +208,14 @@
         held = reader.body_bytes + self._pipeline.body_bytes
         is_full = self._body_share.update(held) and reader.body_bytes > 0
         if problem is None and is_full:
+            held_bytes = self._server.buffered_body_bytes
+            _log.warning('request body buffer full', held_bytes=held_bytes)
             problem = HTTPStatus.SERVICE_UNAVAILABLE
         if problem is not None:
             self._reject(problem)
         elif self._is_finishing:
             self._finish_reading()
+        self._share.update_reading()
         return reader.take_small_pieces()
 
     def _enqueue(self, request: Request) -> None:
@@ -209,8 +240,6 @@
         self._stop_reading()
         headers: Headers = ()
         if status is HTTPStatus.SERVICE_UNAVAILABLE:
-            held = self._server.buffered_body_bytes
-            _log.warning('request body buffer full', held_bytes=held)
             headers = ((b'retry-after', RETRY_AFTER_SECONDS),)
         placeholder = Request(b'', b'', (), b'', self._clock.monotonic())
         self._pipeline.add(placeholder, Response(status, headers, close=True))
@@ -221,6 +250,7 @@
             return
         held = self._reader.body_bytes + self._pipeline.body_bytes
         self._body_share.update(held)
+        self._share.update_output(self._transport.get_write_buffer_size())
         if not self._pipeline.input_ended and not self._pipeline.is_full:
             self._input.resume()
         if not self._server.listening:
@@ -230,7 +260,7 @@
         """Receive nothing more and stop after what has been received."""
         self._is_finishing = True
         self._input.end_receiving()
-        if self._input.has_rest:
+        if self._input.rest_bytes:
             return
         if self._pipeline.is_answering:
             self._stop_reading()
@@ -276,7 +306,7 @@
     received: PacedInput,
 ) -> bool:
     """Tell whether no request is being read or answered."""
-    is_reading = reader.started or received.has_rest
+    is_reading = reader.started or received.rest_bytes > 0
     is_reading = is_reading and not pipeline.input_ended
     return not (pipeline.is_answering or is_reading)
 
--- a/libraries/http/plantainstand_http/_connection.py
+++ b/libraries/http/plantainstand_http/_connection.py
@@ -45,7 +45,7 @@
         self._reader = ResponseReader(self._deliver, self._complete)
         self._exchange: Exchange | None = None
         self._idle_since = clock.monotonic()
-        self._unsent: deque[bytes] = deque()
+        self._unsent: deque[bytes | bytearray] = deque()
         self._is_writable = True
 
     @property
@@ -73,7 +73,7 @@
         timeout: timedelta,
         *,
         head_only: bool,
-        long_body: Sequence[bytes] = (),
+        long_body: Sequence[bytes | bytearray] = (),
     ) -> Exchange:
         """Send a request whose response must echo ``echoed_header``.
 
--- a/libraries/http/plantainstand_http/_messages.py
+++ b/libraries/http/plantainstand_http/_messages.py
@@ -53,8 +53,8 @@
     accepts_chunked: bool = True
     """Whether the client accepts chunked bodies: HTTP/1.1, not 1.0."""
 
-    long_body: tuple[bytes, ...] = ()
-    """Parts of a body above LONG_PART_BYTES. They are never joined for a
+    long_body: tuple[bytes | bytearray, ...] = ()
+    """Parts of a body above 64 KiB. They are never joined for a
     target, so that the body is held only once."""
 
     @property
--- a/libraries/http/plantainstand_http/_pacing.py
+++ b/libraries/http/plantainstand_http/_pacing.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from enum import Enum
 
 import structlog
 from plantainstand_core import Clock
@@ -58,6 +59,16 @@
         return pause
 
 
+class PauseCause(Enum):
+    """Why received bytes are not parsed."""
+
+    CONSUMER = 'consumer'
+    """The consumer has enough."""
+
+    MEMORY = 'memory'
+    """The memory of the process is short."""
+
+
 class PacedInput:
     """Parses the bytes of one connection in slices, within the budget.
 
@@ -78,7 +89,7 @@
         self._transport: asyncio.Transport | None = None
         self._rest: bytes | memoryview = b''
         self._free_pieces = FREE_PIECES
-        self._is_paused = False
+        self._pauses: set[PauseCause] = set()
         self._has_ended = False
         self._timer: asyncio.TimerHandle | None = None
         self._has_logged = False
@@ -89,9 +100,9 @@
         return bool(self._rest) or self._timer is not None
 
     @property
-    def has_rest(self) -> bool:
-        """Whether received bytes are not parsed yet."""
-        return bool(self._rest)
+    def rest_bytes(self) -> int:
+        """Received bytes that are not parsed yet."""
+        return len(self._rest)
 
     def open(self, transport: asyncio.Transport) -> None:
         """Control the reading of ``transport``."""
@@ -116,30 +127,33 @@
         """Restore the free pieces for a further message."""
         self._free_pieces = FREE_PIECES
 
-    def receive(self, chunk: bytes) -> None:
-        """Parse what was read, now or later."""
-        self._rest = bytes(self._rest) + chunk if self._rest else chunk
+    def receive(self, chunk: bytes | memoryview) -> None:
+        """Parse what was read, now or later.
+
+        A view is copied if a part of it has to wait.
+        """
+        self._rest = b'%s%s' % (self._rest, chunk) if self._rest else chunk
         if len(chunk) < SMALL_PIECE_BYTES:
             self._charge(SMALL_READ_PIECES)
         self._parse_rest()
 
-    def pause(self) -> None:
-        """Stop after the current slice: the consumer has enough."""
-        self._is_paused = True
+    def pause(self, cause: PauseCause = PauseCause.CONSUMER) -> None:
+        """Stop after the current slice."""
+        self._pauses.add(cause)
         self._update_reading()
 
-    def resume(self) -> None:
-        """Go on; the consumer needs more."""
-        if not self._is_paused:
+    def resume(self, cause: PauseCause = PauseCause.CONSUMER) -> None:
+        """Go on, unless there is another cause to pause."""
+        if cause not in self._pauses:
             return
-        self._is_paused = False
+        self._pauses.discard(cause)
         if self._rest:
             asyncio.get_running_loop().call_soon(self._parse_rest)
         else:
             self._update_reading()
 
     def _parse_rest(self) -> None:
-        while self._rest and not self._is_paused and self._timer is None:
+        while self._rest and not self._pauses and self._timer is None:
             part = self._rest
             self._rest = b''
             if len(part) > self._slice_bytes:
@@ -147,6 +161,9 @@
                 part = whole[: self._slice_bytes]
                 self._rest = whole[self._slice_bytes :]
             self._charge(self._parse(part))
+        if isinstance(self._rest, memoryview):
+            # The view's buffer is used for what is read next.
+            self._rest = bytes(self._rest)
         self._update_reading()
 
     def _charge(self, pieces: int) -> None:
@@ -178,7 +195,7 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        is_held = self._is_paused or self._timer is not None or self._rest
+        is_held = self._pauses or self._timer is not None or self._rest
         if is_held or self._has_ended:
             transport.pause_reading()
         else:
--- a/libraries/http/plantainstand_http/_pipeline.py
+++ b/libraries/http/plantainstand_http/_pipeline.py
@@ -11,6 +11,15 @@
 
 import structlog
 
+from plantainstand_http._budget import (
+    LINE_COST,
+    REQUEST_COST,
+    RUN_COST,
+    STREAM_COST,
+    BudgetLimits,
+    ClientBudget,
+    MemoryAccount,
+)
 from plantainstand_http._messages import Request, Response
 from plantainstand_http._output import ClientOutput
 from plantainstand_http._pacing import PieceBudget
@@ -24,6 +33,9 @@
 """Requests of one connection that are handled concurrently; while more wait,
 nothing is read."""
 
+READ_BYTES = 64 * 1024
+"""Bytes that are read from a client at once."""
+
 
 @dataclass(frozen=True)
 class ClientLimits:
@@ -37,9 +49,9 @@
     idle_timeout: timedelta = timedelta(seconds=75)
     """Longest time without bytes between requests or within a body."""
 
-    buffered_body_bytes: int = 80 * 1024 * 1024
-    """Total size of the request bodies that one server holds: the largest usual
-    body and some smaller ones."""
+    buffered_body_bytes: int | None = None
+    """Total size of the request bodies that one server holds; None if only the
+    budget of the process limits it."""
 
     header_lines: int = 1024
     """Most header lines of a request. Each takes some 200 bytes of memory
@@ -92,6 +104,11 @@
     """Returns the id of a request for log lines, empty if it has none."""
 
     limits: ClientLimits = field(default_factory=ClientLimits)
+    clients: ClientBudget = field(
+        default_factory=lambda: ClientBudget(BudgetLimits())
+    )
+    """What the clients of all servers of the process may take."""
+
     closing: bool = False
     """Whether connections close after the requests already read."""
 
@@ -100,6 +117,10 @@
 
     buffered_body_bytes: int = 0
     connections: set[OpenConnection] = field(default_factory=set)
+    read_buffer: memoryview = field(
+        default_factory=lambda: memoryview(bytearray(READ_BYTES))
+    )
+    """What one read of one connection returns; the next read overwrites it."""
 
 
 @dataclass(frozen=True)
@@ -123,9 +144,18 @@
 class RequestPipeline:
     """Requests of one connection that have no response yet."""
 
-    def __init__(self, server: ServerState, events: PipelineCallbacks):
-        """Create an empty pipeline; :meth:`open` precedes the first request."""
+    def __init__(
+        self,
+        server: ServerState,
+        events: PipelineCallbacks,
+        account: MemoryAccount,
+    ):
+        """Create an empty pipeline; :meth:`open` precedes the first request.
+
+        What the requests and their responses take is added to ``account``.
+        """
         self._server = server
+        self._account = account
         self._events = events
         self._output: ClientOutput | None = None
         self._waiting: deque[tuple[Request, Response | None]] = deque()
@@ -174,6 +204,7 @@
     def add(self, request: Request, ready: Response | None = None) -> None:
         """Queue a request; ``ready`` is its response if already known."""
         self._body_bytes += request.body_bytes
+        self._account.add(_held_bytes(request))
         if not request.keep_alive:
             self._input_ended = True
         self._waiting.append((request, ready))
@@ -199,9 +230,13 @@
     def _start_next(self) -> None:
         while self._waiting and self._may_start(*self._waiting[0]):
             request, ready = self._waiting.popleft()
+            self._server.clients.begin_run()
+            self._account.add(RUN_COST)
             predecessor = self._tasks[-1] if self._tasks else None
             work = self._run(request, ready, predecessor)
             task = asyncio.get_running_loop().create_task(work)
+            # A task that is cancelled before its first step runs no code.
+            task.add_done_callback(self._server.clients.end_run)
             self._tasks.append(task)
             self._started.append(request)
             self._last_started = (request, ready)
@@ -212,6 +247,7 @@
         # Those started before the last one were checked when it started.
         return (
             len(self._tasks) < MAX_CONCURRENT_REQUESTS
+            and self._server.clients.may_overlap
             and self._may_overlap(*self._last_started)
             and self._may_overlap(request, ready)
         )
@@ -225,13 +261,17 @@
         ready: Response | None,
         predecessor: asyncio.Task[None] | None,
     ) -> None:
+        response_bytes = 0
         with suppress(asyncio.CancelledError):
             response = ready or await self._handle(request)
+            response_bytes = _response_bytes(response)
+            self._account.add(response_bytes)
             try:
                 await self._send_in_turn(request, response, predecessor)
             finally:
                 if response.rest is not None:
                     response.rest.close()
+        self._account.add(-RUN_COST - response_bytes - _held_bytes(request))
         self._tasks.popleft()
         self._started.popleft()
         self._body_bytes -= request.body_bytes
@@ -279,6 +319,17 @@
             self._events.end_output()
 
 
+def _held_bytes(request: Request) -> int:
+    lines_bytes = len(request.headers) * LINE_COST
+    head_bytes = REQUEST_COST + lines_bytes + request.head_bytes
+    return head_bytes + request.body_bytes
+
+
+def _response_bytes(response: Response) -> int:
+    size = len(response.body) + len(response.headers) * LINE_COST
+    return size if response.rest is None else size + STREAM_COST
+
+
 def _sendable(
     request: Request, response: Response, server: ServerState
 ) -> Response:
--- a/libraries/http/plantainstand_http/_reader.py
+++ b/libraries/http/plantainstand_http/_reader.py
@@ -6,12 +6,63 @@
 import httptools
 from plantainstand_core import Clock
 
+from plantainstand_http._budget import LINE_COST
 from plantainstand_http._messages import Request, header_value
 from plantainstand_http._pacing import SMALL_PIECE_BYTES
 
 LONG_PART_BYTES = 64 * 1024
-"""Least length of the parts that a long body is held in. One growing buffer
-would be copied while it grows, and again into the request."""
+"""Length of the parts that a long body is held in. One growing buffer would be
+copied while it grows, and again into the request; and blocks of one length are
+reused once they are free, whatever was freed around them."""
+
+SHORT_BODY_BYTES = 16 * 1024
+"""Size up to which a body has a buffer that grows with it."""
+
+
+class _BodyParts:
+    """A body that arrives, in parts of one length."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+        self._short = bytearray()
+        self._parts: list[bytearray] = []
+        self._room = memoryview(b'')
+        """What is free of the last part."""
+
+    def append(self, piece: bytes) -> None:
+        """Add the next piece, which is no longer than a part."""
+        if not self._parts:
+            if len(self._short) + len(piece) <= SHORT_BODY_BYTES:
+                self._short += piece
+                self.held_bytes = len(self._short)
+                return
+            self._add_part()
+            self._fill(self._short)
+            self._short = bytearray()
+        self._fill(piece)
+
+    def take(self) -> tuple[bytes | bytearray, ...]:
+        """Return the parts; only one if the body is not long."""
+        if not self._parts:
+            return (bytes(self._short),)
+        last_bytes = LONG_PART_BYTES - len(self._room)
+        last = bytes(memoryview(self._parts.pop())[:last_bytes])
+        return (*self._parts, last) if last else tuple(self._parts)
+
+    def _add_part(self) -> None:
+        part = bytearray(LONG_PART_BYTES)
+        self._parts.append(part)
+        self._room = memoryview(part)
+        self.held_bytes = len(self._parts) * LONG_PART_BYTES
+
+    def _fill(self, piece: bytes | bytearray) -> None:
+        room = self._room
+        kept = min(len(piece), len(room))
+        room[:kept] = piece[:kept]  # noqa: WPS362
+        self._room = room[kept:]
+        if not self._room:
+            self._add_part()
+            self._fill(piece[kept:])
 
 
 class RequestReader:
@@ -40,6 +91,16 @@
         """Number of header lines of the request that is being read."""
         return len(self._headers)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes which is being read."""
+        lines_bytes = len(self._headers) * LINE_COST
+        return lines_bytes + self.head_bytes + self._body.held_bytes
+
+    def discard(self) -> None:
+        """Forget the request that is being read; nothing more is parsed."""
+        self._begin()
+
     def take_small_pieces(self) -> int:
         """Return the number of small pieces since the last call."""
         count = self._small_pieces
@@ -85,26 +146,22 @@
         """Collect a part of the body."""
         self._small_pieces += len(part) < SMALL_PIECE_BYTES
         self.framing_bytes = 0
-        self._body += part
+        self._body.append(part)
         self.body_bytes += len(part)
-        if len(self._body) >= LONG_PART_BYTES:
-            self._long_body.append(bytes(self._body))
-            self._body = bytearray()
 
     def on_message_complete(self) -> None:
         """Deliver the request, which is now whole."""
-        body = bytes(self._body)
-        if self._long_body and body:
-            self._long_body.append(body)
+        parts = self._body.take()
+        is_long = len(parts) > 1
         request = Request(
             method=self._parser.get_method(),
             request_target=self._target,
             headers=tuple(self._headers),
-            body=b'' if self._long_body else body,
+            body=b'' if is_long else bytes(b''.join(parts)),
             received_at=self._received_at,
             keep_alive=self._parser.should_keep_alive(),
             accepts_chunked=self._parser.get_http_version() != '1.0',
-            long_body=tuple(self._long_body),
+            long_body=parts if is_long else (),
         )
         self._begin()
         self._completed(request)
@@ -119,5 +176,4 @@
         self._received_at = self.begun_at
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
-        self._long_body: list[bytes] = []
-        self._body: bytearray = bytearray()
+        self._body = _BodyParts()
--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -1,12 +1,15 @@
 """HTTP/1.1 server with one asyncio protocol object per connection."""
 
 import asyncio
+import os
+import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from datetime import timedelta
 
 from plantainstand_core import Clock
 
+from plantainstand_http._budget import ClientBudget
 from plantainstand_http._client_connection import ClientConnection
 from plantainstand_http._messages import Request
 from plantainstand_http._pacing import PieceBudget
@@ -19,6 +22,10 @@
 """Connections that may wait to be accepted; clients that find the queue full
 retry only after seconds."""
 
+ACCEPT_BATCH = 32
+"""Connections that are accepted in one turn of the loop. The event loop accepts
+as many as its backlog before it counts any of them."""
+
 
 class HttpServer:
     """Listens on one address; all connections share one handler."""
@@ -30,12 +37,14 @@
         may_overlap: Callable[[Request], bool] | None = None,
         limits: ClientLimits | None = None,
         log_id: Callable[[Request], str] | None = None,
+        clients: ClientBudget | None = None,
     ):
         """Serve with default limits, if none are given or set later.
 
         ``may_overlap`` tells which pipelined requests may be handled before the
         preceding ones have their responses; without it, none. ``log_id``
-        returns the id of a request for log lines.
+        returns the id of a request for log lines. ``clients`` is the budget
+        that all servers of the process share.
         """
         self._state = ServerState(
             handler,
@@ -45,6 +54,8 @@
         )
         if log_id is not None:
             self._state.log_id = log_id
+        if clients is not None:
+            self._state.clients = clients
         self._clock = clock
         self._listener: asyncio.Server | None = None
 
@@ -79,9 +90,10 @@
             lambda: ClientConnection(self._state, self._clock),
             host,
             port,
-            backlog=LISTEN_BACKLOG,
+            backlog=ACCEPT_BATCH,
             reuse_address=True,
         )
+        _lengthen_queues(server)
         self._listener = server
         stack.callback(self._abort_all)
         stack.callback(server.close)
@@ -111,9 +123,17 @@
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL.total_seconds())
             now = self._clock.monotonic()
+            self._state.clients.check(now)
             for connection in tuple(self._state.connections):
                 connection.check_timeouts(now)
 
 
+def _lengthen_queues(server: asyncio.Server) -> None:
+    """Let more connections wait in the kernel than one turn accepts."""
+    for listening in server.sockets:
+        with socket.socket(fileno=os.dup(listening.fileno())) as copy:
+            copy.listen(LISTEN_BACKLOG)
+
+
 def _never(_request: Request) -> bool:
     return False
--- a/tests/edge/builders.py
+++ b/tests/edge/builders.py
@@ -93,7 +93,7 @@
         *,
         head_only: bool = False,
         may_send: Callable[[], bool],
-        long_body: Sequence[bytes] = (),
+        long_body: Sequence[bytes | bytearray] = (),
     ) -> Outcome:
         """Return the next outcome; a timeout advances the clock."""
         self._clock.advance(self.connect_time)
--- a/tests/http/test_header_lines.py
+++ b/tests/http/test_header_lines.py
@@ -7,7 +7,7 @@
 from plantainstand_core import SystemClock
 from plantainstand_http import ClientLimits, HttpServer, Request, Response
 
-_PORT = 38_531
+_PORT = 29_731
 _LINE = b'a:b\r\n'
 _DEADLINE_SECONDS = 5.0
 
--- a/tests/http/test_long_bodies.py
+++ b/tests/http/test_long_bodies.py
@@ -14,8 +14,8 @@
     encode_request,
 )
 
-_PORT = 38_532
-_TARGET_PORT = 38_533
+_PORT = 29_732
+_TARGET_PORT = 29_733
 _SIZE = 1_000_003
 _BODY = bytes(number % 251 for number in range(_SIZE))
 
