Responses of targets: invalid status lines and endless interim responses

Cause: statuses 000 to 099 counted as interim, so the request waited until its timeout; 600 and above and versions other than 1.0 and 1.1 were passed on to the client; interim responses were bounded by 64 KiB and the deadline only (docs/accounts-and-load.md, section 10).

Change: ResponseReader ends the parser at such a status line and after 32 interim responses, before anything is delivered; the connection is closed and the exchange fails as broken, so that a request is retried where that is allowed and gets 502 otherwise. Requests, health and list calls use the same reader.

--- a/libraries/http/plantainstand_http/_answer_reader.py
+++ b/libraries/http/plantainstand_http/_answer_reader.py
@@ -42,6 +42,12 @@
 """Responses to other requests that are skipped while one response is awaited.
 Small ones without end would take processor time rather than memory."""
 
+MAX_INTERIM_RESPONSES = 32
+"""Interim responses before one response. Servers that send them at all send a
+few; the deadline alone would let a target hold the request with them."""
+
+_STATUSES = range(100, 600)
+_VERSIONS = frozenset(('1.0', '1.1'))
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 
@@ -113,6 +119,7 @@
         self._framing_bytes = 0
         self._foreign_bytes = 0
         self._foreign_responses = 0
+        self._interim_responses = 0
         self._fault: str | None = None
         self._small_pieces = 0
 
@@ -139,6 +146,7 @@
         self._exchanges += 1
         self._framing_bytes = 0
         self._foreign_responses = 0
+        self._interim_responses = 0
         self._partial = _PartialResponse()
 
     def feed(self, chunk: bytes | memoryview) -> str | None:
@@ -147,7 +155,8 @@
         try:
             self._parser.feed_data(chunk)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            return 'bytes that are no HTTP answer'
+            # The callbacks end the parser with a fault of their own.
+            return self._fault or 'bytes that are no HTTP answer'
         if self._framing_bytes > MAX_FRAMING_BYTES:
             return 'head or framing without end'
         if self._foreign_responses > MAX_MISMATCHED_RESPONSES:
@@ -197,8 +206,12 @@
             self._fault = 'too many headers'
 
     def on_headers_complete(self) -> None:
-        """Check the response's identity and decide how to read its body."""
-        if self._is_interim or not self._expecting:
+        """Check the response's identity and decide how to read its body.
+
+        An error ends the parser, so that nothing of the response is delivered.
+        """
+        self._check_status_line()
+        if _is_interim(self._parser) or not self._expecting:
             return
         self._partial.head_complete = True
         self._check_identity()
@@ -230,7 +243,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is interim or mismatched."""
-        is_skipped = self._partial.is_mismatched or self._is_interim
+        is_skipped = self._partial.is_mismatched or _is_interim(self._parser)
         if self._expecting and is_skipped:
             # The expected response may follow a late or interim one.
             self._partial = _PartialResponse()
@@ -239,9 +252,17 @@
         else:
             self.may_reuse = False
 
-    @property
-    def _is_interim(self) -> bool:
-        return bool(self._parser.get_status_code() < HTTPStatus.OK)
+    def _check_status_line(self) -> None:
+        status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        self._interim_responses += _is_interim(self._parser)
+        if status not in _STATUSES or version not in _VERSIONS:
+            self._fault = f'status line with HTTP/{version} {status}'
+        elif self._interim_responses > MAX_INTERIM_RESPONSES:
+            self._fault = 'interim answers without end'
+        else:
+            return
+        raise ValueError(self._fault)
 
     def _check_identity(self) -> None:
         name, expected = self._identity
@@ -308,3 +329,7 @@
             self.idle_limit = timedelta(
                 seconds=int(seconds) * IDLE_TIMEOUT_FRACTION
             )
+
+
+def _is_interim(parser: httptools.HttpResponseParser) -> bool:
+    return bool(parser.get_status_code() < HTTPStatus.OK)
