--- a/libraries/http/plantainstand_http/_budget.py
+++ b/libraries/http/plantainstand_http/_budget.py
@@ -13,8 +13,8 @@
 _log = structlog.get_logger()
 
 CONNECTION_COST = 16 * 1024
-"""Bytes that an idle connection takes: socket, transport, parser, buffers (8 KiB
-each, measured with 600), and headers of the request answered last."""
+"""Bytes that an idle connection takes: socket, transport, parser and buffers (8
+KiB, measured with 600), and headers of the request answered last."""
 
 LINE_COST = 208
 """Bytes that a header line takes beside its own length: two bytes objects (33
