--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -6,15 +6,19 @@
 from contextlib import AsyncExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest.mock import patch
 
 import msgspec
 from plantainstand_control import ControlNode, ControlSettings, TargetList
+from plantainstand_control._entries import EntryRegistry
+from plantainstand_control._node import SUPERVISION_INTERVAL
 from plantainstand_control._poller import ListProblem
 from plantainstand_core import (
     AvailabilityZoneId,
     LogIndex,
     RegionId,
     SystemClock,
+    TargetId,
     VmId,
 )
 from plantainstand_desired import (
@@ -29,7 +33,11 @@
     AccountAnswer,
     AccountQuestion,
     DesiredUpdate,
+    EntryReport,
+    FleetMessage,
     Hello,
+    LoadUpdate,
+    TargetLoad,
     VmRole,
     decode_fleet_message,
     encode_fleet_message,
@@ -138,6 +146,56 @@
             )
             self.assertEqual(answers[vm], expected)
 
+    async def test_loads_come_from_the_leader(self) -> None:
+        """An entry VM that is linked to all control VMs gets a load once.
+
+        Nor does its report, whose loads are always new, pass between control
+        VMs each time.
+        """
+        nodes = [self._start(vm) for vm in _SEEDS]
+        await self._until(lambda: self._voters(nodes[0]) == set(_SEEDS))
+        received: list[FleetMessage] = []
+        with patch.object(
+            EntryRegistry, 'record_report', autospec=True
+        ) as record:
+            for vm in _SEEDS:
+                self._connect_reporting(vm, received)
+            await self._until(lambda: bool(received))
+            await asyncio.sleep(SUPERVISION_INTERVAL.total_seconds() * 3)
+        self.assertEqual([type(each) for each in received], [LoadUpdate])
+        self.assertEqual(record.call_count, len(_SEEDS))
+        for call in record.call_args_list:
+            self.assertIsNone(call.args[-1].loads)
+
+    def _connect_reporting(
+        self, vm: VmId, received: list[FleetMessage]
+    ) -> None:
+        """Connect as an entry VM that reports a load; note the updates."""
+
+        def receive(_link: Link, frame: bytes) -> None:
+            message = decode_fleet_message(frame).unwrap()
+            if isinstance(message, LoadUpdate):
+                received.append(message)
+
+        def send(link: Link) -> None:
+            zone, region = (
+                AvailabilityZoneId('region-1-a'),
+                RegionId('region-1'),
+            )
+            hello = Hello(VmRole.ENTRY, VmId('127.0.7.9'), zone, region, 0)
+            load = TargetLoad(TargetId('t1'), 1, 4, 2, 250, 0)
+            report = EntryReport(
+                '127.0.7.9:80', zone, region, ready=True, loads=(load,)
+            )
+            for message in (hello, report):
+                link.send(encode_fleet_message(message))
+
+        callbacks = LinkCallbacks(send, receive, lambda _link: None)
+        address = f'{vm}:{_LINK_PORT}'
+        link = OutgoingLink(address, callbacks, SystemClock(), LinkTimings())
+        running = asyncio.create_task(link.run())
+        self.stack.push_async_callback(_cancel, running)
+
     def _ask(
         self, vm: VmId, number: int, answers: dict[VmId, AccountAnswer]
     ) -> None:
--- a/tests/edge/test_node.py
+++ b/tests/edge/test_node.py
@@ -15,11 +15,15 @@
 from plantainstand_fleet import (
     DesiredUpdate,
     EntryReport,
+    LoadUpdate,
+    TargetLoad,
     TargetUpdate,
     decode_fleet_message,
     encode_fleet_message,
 )
 from plantainstand_links import Link, LinkCallbacks, LinkServer, LinkTimings
+from plantainstand_placement import LoadReport
+from plantainstand_placement._other_load import SHARED_LOAD_LEAD
 
 from tests.desired.builders import route_item, service_item
 from tests.edge.builders import HEADER_CODEC, SETTINGS
@@ -84,6 +88,7 @@
         self.target = SlowTarget()
         await self.target.start(self.stack)
         self.reports: list[EntryReport] = []
+        self.links: list[Link] = []
         events = LinkCallbacks(self._send_state, self._receive, _ignore)
         server = LinkServer(events, SystemClock(), LinkTimings())
         await server.start(_HOST, _LINK_PORT, self.stack)
@@ -132,12 +137,39 @@
                 self.assertEqual((await asking).status, 200)
                 await self.running
 
+    async def test_exchange_of_loads(self) -> None:
+        """A VM must report loads, and go by those that others report.
+
+        Its first report already says that it knows updates: with few requests
+        of its own it needs them most.
+        """
+        state = self.node._target_table.states[0]
+        self.assertEqual(self.reports[0].loads, ())
+        report = LoadReport(1, 0, 4, 2.5, states_speed=True)
+        state.record_response(SystemClock().monotonic(), report, failed=False)
+        async with asyncio.timeout(_DEADLINE_SECONDS):
+            while not any(each.loads for each in self.reports):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(SHARED_LOAD_LEAD.total_seconds())
+            load = TargetLoad(state.entry.target, 1, 4, 4, 100, 0)
+            for link in self.links:
+                link.send(encode_fleet_message(LoadUpdate((load,))))
+            while state.load(SystemClock().monotonic()) < 4:
+                await asyncio.sleep(0.01)
+        metrics = self.node._render_metrics()
+        for line in (
+            b'plantainstand_entry_loads_taken 1',
+            b'plantainstand_entry_load_update_age_seconds ',
+        ):
+            self.assertIn(line, metrics.replace(b'{}', b''))
+
     def _receive(self, _link: Link, frame: bytes) -> None:
         message = decode_fleet_message(frame).unwrap()
         if isinstance(message, EntryReport):
             self.reports.append(message)
 
     def _send_state(self, link: Link) -> None:
+        self.links.append(link)
         items = (service_item(), route_item('shop', 5, timeout=8))
         address = self.target.address
         listed = (msgspec.structs.replace(entry('t1'), address=address),)
