Placement: less urgent ranks are rejected at a shorter expected wait

Cause: the rank of accounts and routes was used by no decision, so that under overload urgent requests were rejected as often as others. Change: an entry VM counts the ranks of a service's requests. Where there are several, the longest expected wait falls with the share of more urgent requests, to half for the least urgent; Retry-After is spread by up to a fifth by request. A service with one rank is decided as before.

--- a/libraries/edge/plantainstand_edge/_active_request.py
+++ b/libraries/edge/plantainstand_edge/_active_request.py
@@ -3,13 +3,16 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import xxhash
 from plantainstand_core import RegionId, ServiceId, TargetId
 from plantainstand_desired import AccountMatch, AccountName, RouteMatch
 from plantainstand_http import FailureKind, Request, TargetResponse
-from plantainstand_placement import DemandEstimate
+from plantainstand_placement import Admission, DemandEstimate
 
 from plantainstand_edge._header_codec import RequestMetadata
 
+_DRAW_SPAN = 2**32
+
 
 @dataclass(slots=True)
 class ActiveRequest:
@@ -28,6 +31,9 @@
     demand: DemandEstimate | None = None
     """Demand for the object when the request arrived, if it states one."""
 
+    admission: Admission | None = None
+    """Admission beside requests of other ranks of the service, if any."""
+
     account: AccountMatch | None = None
     """Account that holds the request's key; None if no key is required."""
 
@@ -86,6 +92,11 @@
             return stated
         return self.metadata.request_id
 
+    @property
+    def draw(self) -> float:
+        """Number from 0 to 1 that differs between requests."""
+        return xxhash.xxh32_intdigest(self.metadata.request_id) / _DRAW_SPAN
+
     @property
     def states_object(self) -> bool:
         """Whether requests of the route with the same key are for one object.
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -20,6 +20,7 @@
     LongestDurations,
     ObjectDemand,
     PlacementCriteria,
+    RankCounts,
     Refusal,
     RefusalReason,
     RequestLimits,
@@ -118,6 +119,7 @@
         self._service_times = ServiceTimes()
         self._run_times = RunTimes()
         self._object_demand: dict[ServiceId, ObjectDemand] = {}
+        self._rank_counts: dict[ServiceId, RankCounts] = {}
         self._returning_callers = ReturningCallers()
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
@@ -171,6 +173,9 @@
             return self._responses.denied(metadata, match, checked.err_value)
         active = self._start(request, metadata, match)
         active.account = checked.ok_value
+        active.admission = self._rank_counts.setdefault(
+            active.service, RankCounts()
+        ).count(active.rank, active.draw)
         time_limit = asyncio.timeout_at(self._exit_loop_time())
         self._time_limits.add(time_limit)
         try:
@@ -309,6 +314,7 @@
                 inputs.target_limits.stated,
             ),
             demand=active.demand,
+            admission=active.admission,
             list_reading=inputs.target_table.reading(self._settings.list_lag),
             evacuated_availability_zones=(
                 inputs.desired_view.evacuated_availability_zones()
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement decisions of an entry VM, free of input and output."""
 
+from plantainstand_placement._admission import Admission, RankCounts
 from plantainstand_placement._board import TargetTable
 from plantainstand_placement._budget import RetryBudgetLimits, RetryBudgetShare
 from plantainstand_placement._choice import (
@@ -35,6 +36,7 @@
 from plantainstand_placement._target import LoadReport, TargetState
 
 __all__ = (
+    'Admission',
     'Choice',
     'ColdRequestShare',
     'ColdTargetLimits',
@@ -46,6 +48,7 @@
     'LoadReport',
     'LongestDurations',
     'ObjectDemand',
+    'RankCounts',
     'Refusal',
     'RequestLimits',
     'RefusalReason',
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -33,6 +33,7 @@
 
 from plantainstand_core import RegionId
 
+from plantainstand_placement._admission import Admission
 from plantainstand_placement._criteria import PlacementCriteria
 from plantainstand_placement._eligibility import (
     MAX_CANDIDATES,
@@ -200,13 +201,20 @@
     ]
     chosen = _best(options, known)
     if chosen.expected_wait > _max_wait(chosen, criteria, estimates):
-        retry_after = min(
-            max(chosen.expected_wait, RETRY_AFTER_MIN), RETRY_AFTER_MAX
+        return Refusal(
+            RefusalReason.NO_CAPACITY, _retry_after(chosen, criteria.admission)
         )
-        return Refusal(RefusalReason.NO_CAPACITY, retry_after)
     return chosen
 
 
+def _retry_after(chosen: Choice, admission: Admission | None) -> timedelta:
+    """Return the time in which the backlog at the target is worked off."""
+    backlog = max(chosen.expected_wait, RETRY_AFTER_MIN)
+    if admission is not None:
+        backlog *= 1 + admission.retry_spread
+    return min(backlog, RETRY_AFTER_MAX)
+
+
 def _max_wait(
     chosen: Choice, criteria: PlacementCriteria, estimates: ServiceEstimates
 ) -> timedelta:
@@ -221,7 +229,10 @@
         criteria.time_left - chosen.expected_run * RUN_TIME_MARGIN,
     )
     late = estimates.mean_run_time * LATE_WAIT_FRACTION
-    return max(in_objective, min(late, before_timeout))
+    longest = max(in_objective, min(late, before_timeout))
+    if criteria.admission is None:
+        return longest
+    return longest * criteria.admission.wait_fraction
 
 
 def _knowledge(
--- a/libraries/placement/plantainstand_placement/_criteria.py
+++ b/libraries/placement/plantainstand_placement/_criteria.py
@@ -5,6 +5,7 @@
 
 from plantainstand_core import AvailabilityZoneId, RegionId, TargetId
 
+from plantainstand_placement._admission import Admission
 from plantainstand_placement._cold import ColdRequestShare
 from plantainstand_placement._cold_knowledge import ListReading
 from plantainstand_placement._object_demand import DemandEstimate
@@ -39,6 +40,9 @@
     demand: DemandEstimate | None = None
     """Demand for the object; None if the request states no object."""
 
+    admission: Admission | None = None
+    """Admission beside requests of other ranks; None if all are of one."""
+
     list_reading: ListReading | None = None
     """Newest reading of the platform's list; without it, all targets count as
     warm that are not known to be cold."""
--- a/tests/placement/overload.py
+++ b/tests/placement/overload.py
@@ -17,6 +17,7 @@
 from plantainstand_core import AvailabilityZoneId, RegionId, ServiceId, TargetId
 from plantainstand_fleet import TargetEntry
 from plantainstand_placement import (
+    Admission,
     Choice,
     ColdRequestShare,
     DemandEstimate,
@@ -25,6 +26,7 @@
     LoadReport,
     ObjectDemand,
     PlacementCriteria,
+    RankCounts,
     Refusal,
     RequestLimits,
     RunTimes,
@@ -55,6 +57,7 @@
     region: RegionId
     targets: ServiceTargets
     demand: ObjectDemand = field(default_factory=ObjectDemand)
+    ranks: RankCounts = field(default_factory=RankCounts)
     run_times: RunTimes = field(default_factory=RunTimes)
     mean_run_time: timedelta = timedelta(milliseconds=200)
 
@@ -75,6 +78,7 @@
     vm: ReplayedVm
     rank: int = 0
     demand: DemandEstimate | None = None
+    admission: Admission | None = None
     choice: Choice | None = None
     sent: timedelta = ZERO
     tried: set[TargetId] = field(default_factory=set)
@@ -232,6 +236,9 @@
         )
         if self._load.counts_objects:
             request.demand = vm.demand.count(request.object_key)
+        if self._load.counts_ranks:
+            draw = self._random.random()
+            request.admission = vm.ranks.count(request.rank, draw)
         self.result.arrived += 1
         self.result.arrived_at[int(elapsed)] += 1
         self.result.arrived_of[request.rank] += 1
@@ -250,6 +257,7 @@
             request_limits=RequestLimits(vm.region, _NO_SHARE),
             tried_targets=frozenset(request.tried),
             demand=request.demand,
+            admission=request.admission,
         )
         estimates = ServiceEstimates(
             self._now, vm.run_times.estimates(ROUTE), vm.mean_run_time
--- a/tests/placement/replayed_load.py
+++ b/tests/placement/replayed_load.py
@@ -50,6 +50,9 @@
     rank_shares: tuple[float, ...] = (1.0,)
     """Share of the requests by rank, the most urgent first."""
 
+    counts_ranks: bool = True
+    """Whether the ranks of requests are known to the decisions."""
+
     phases: Sequence[tuple[float, float]] = ()
     """Seconds and multiple of the arrivals, in this order; then usual load."""
 
