--- a/libraries/http/plantainstand_http/_server.py
+++ b/libraries/http/plantainstand_http/_server.py
@@ -1,8 +1,6 @@
 """HTTP/1.1 server with one asyncio protocol object per connection."""
 
 import asyncio
-import os
-import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from datetime import timedelta
@@ -19,12 +17,8 @@
 """Interval of the checks for idle and slow clients."""
 
 LISTEN_BACKLOG = 1024
-"""Connections that may wait to be accepted; clients that find the queue full
-retry only after seconds."""
-
-ACCEPT_BATCH = 32
-"""Connections that are accepted in one turn of the loop. The event loop accepts
-as many as its backlog before it counts any of them."""
+"""Most connections that may wait to be accepted; clients that find the queue
+full retry only after seconds."""
 
 
 class HttpServer:
@@ -86,14 +80,16 @@
     async def start(self, host: str, port: int, stack: AsyncExitStack) -> None:
         """Listen until ``stack`` is closed, which aborts all connections."""
         loop = asyncio.get_running_loop()
+        # The event loop accepts as many connections as its backlog in one
+        # turn, before it counts any of them.
+        limit = self._state.clients.limits.connections
         server = await loop.create_server(
             lambda: ClientConnection(self._state, self._clock),
             host,
             port,
-            backlog=ACCEPT_BATCH,
+            backlog=max(1, min(LISTEN_BACKLOG, limit)),
             reuse_address=True,
         )
-        _lengthen_queues(server)
         self._listener = server
         stack.callback(self._abort_all)
         stack.callback(server.close)
@@ -128,12 +124,5 @@
                 connection.check_timeouts(now)
 
 
-def _lengthen_queues(server: asyncio.Server) -> None:
-    """Let more connections wait in the kernel than one turn accepts."""
-    for listening in server.sockets:
-        with socket.socket(fileno=os.dup(listening.fileno())) as copy:
-            copy.listen(LISTEN_BACKLOG)
-
-
 def _never(_request: Request) -> bool:
     return False
