Explain command: where a request would go now, and why

Cause: the log says why a request went where it did, but only afterwards. Nothing told where an entry VM would send a given request now.

Change: GET /explain on an entry VM's metrics address, and plantainstandctl explain, which prints it as a table or as JSON. The question names the account, never a key, and a name that is not known is not repeated in the answer. _decisions.py holds the state and builds the criteria for both serving and explaining; _steering.py uses it instead of its own copies. Each place that counts a request has a preview beside it that does not: TrafficSplitter, ObjectDemand, AllotmentHolder, RunPermits. rate_targets lists the targets that choose_target compares. LongestDurations.longest moved its windows when it was read, so that an explanation on a stopping VM changed state; only record() moves them now.

A decision that depends on an answer yet to come (an allotment of the account's limit, or a probe) is reported as "wait". Cached figures, entries that have left their windows, and doubts about a target that newer evidence has ended are still renewed by an explanation, as by any request.

The whole suite and the tests of whole systems were not run.

--- a/libraries/allotments/plantainstand_allotments/__init__.py
+++ b/libraries/allotments/plantainstand_allotments/__init__.py
@@ -1,7 +1,12 @@
 """Limits of client accounts over all entry VMs, free of input and output."""
 
 from plantainstand_allotments._authority import AllotmentAuthority
-from plantainstand_allotments._holder import AllotmentHolder, UseOutcome
+from plantainstand_allotments._holder import (
+    UNLIMITED_USE,
+    AllotmentHolder,
+    UseOutcome,
+    UsePreview,
+)
 from plantainstand_allotments._terms import (
     CLOCK_MARGIN,
     LEASE,
@@ -17,6 +22,8 @@
     'AllotmentTerms',
     'CLOCK_MARGIN',
     'LEASE',
+    'UNLIMITED_USE',
     'UseOutcome',
+    'UsePreview',
     'window_total',
 )
--- a/libraries/allotments/plantainstand_allotments/_holder.py
+++ b/libraries/allotments/plantainstand_allotments/_holder.py
@@ -1,5 +1,6 @@
 """Allotments at an entry VM."""
 
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -32,6 +33,23 @@
     """The VM has no usable allotment of any account."""
 
 
+@dataclass(frozen=True, slots=True)
+class UsePreview:
+    """What ``AllotmentHolder.try_use`` would return, without counting it."""
+
+    outcome: UseOutcome
+    left: int | None
+    """Runs that may begin before the allotment is used up; None for no limit.
+    """
+
+    retry_after: timedelta = timedelta()
+    """When a run may be possible, if the outcome is ``EXHAUSTED``."""
+
+
+UNLIMITED_USE = UsePreview(UseOutcome.GRANTED, None)
+"""Preview for an account without a limit."""
+
+
 class AllotmentHolder:
     """Counts the runs of an entry VM and asks for allotments.
 
@@ -102,6 +120,21 @@
             usage = AccountUsage(self._window, now)
         return usage.promise(now)
 
+    def preview(self, account: AccountName, now: timedelta) -> UsePreview:
+        """Tell what a request would get now; counts neither run nor demand."""
+        if not self.is_leased(now):
+            return UsePreview(UseOutcome.NOT_LEASED, 0)
+        usage = self._usages.get(account)
+        if usage is None:
+            return UsePreview(UseOutcome.WANTED, 0)
+        left = usage.left(now)
+        if left:
+            return UsePreview(UseOutcome.GRANTED, left)
+        if usage.is_exhausted:
+            wait = usage.wait_for_room(now)
+            return UsePreview(UseOutcome.EXHAUSTED, 0, wait)
+        return UsePreview(UseOutcome.WANTED, 0)
+
     def next_question(self, now: timedelta) -> AccountQuestion:
         """Return a question to send now, and only once."""
         if not self.is_leased(now):
--- a/libraries/allotments/plantainstand_allotments/_usage.py
+++ b/libraries/allotments/plantainstand_allotments/_usage.py
@@ -105,14 +105,22 @@
         Each run that leaves the window makes room for one request, and those
         that were told to return before take the first of these.
         """
+        wait = self.wait_for_room(now)
+        if wait < self._window * _RETURN_LIMIT:
+            self._promised.append(now + wait)
+        return wait
+
+    def wait_for_room(self, now: timedelta) -> timedelta:
+        """Return what :meth:`promise` would return, without promising it."""
         promised = self._promised
         while promised and promised[0] <= now:
             promised.popleft()
         moment = self._room_at(len(promised), now)
-        latest = now + self._window * _RETURN_LIMIT
-        if moment < latest:
-            promised.append(moment)
-        return min(moment, latest) - now
+        return min(moment - now, self._window * _RETURN_LIMIT)
+
+    def left(self, now: timedelta) -> int:
+        """Return the number of runs that the allotment has room for."""
+        return max(0, self.allotment - self.runs.prune(now))
 
     def _room_at(self, ahead: int, now: timedelta) -> timedelta:
         """Return when there is room after ``ahead`` other requests."""
--- a/libraries/ctl/plantainstand_ctl/_argument_types.py
+++ b/libraries/ctl/plantainstand_ctl/_argument_types.py
@@ -39,6 +39,13 @@
     return f'http://{url.netloc}'
 
 
+def request_path(text: str) -> str:
+    """Parse the path of a request."""
+    if not text.startswith('/'):
+        raise argparse.ArgumentTypeError(f'{text!r} does not begin with /')
+    return text
+
+
 def entry_id(text: str) -> EntryId:
     """Parse the ``KIND/ID`` of an entry."""
     return EntryId(_check_qualified_id(text, tuple(ENTRY_TYPES)))
--- a/libraries/ctl/plantainstand_ctl/_arguments.py
+++ b/libraries/ctl/plantainstand_ctl/_arguments.py
@@ -34,6 +34,7 @@
     _add_status(groups)
     _add_request(groups)
     _add_logs(groups)
+    _add_explain(groups)
     return parser
 
 
@@ -121,6 +122,35 @@
     counting.add_argument('files', metavar='FILE', nargs='+')
 
 
+def _add_explain(groups: Any) -> None:
+    text = 'explain where an entry VM would send a request now'
+    explaining = _action(groups, 'explain', text)
+    explaining.set_defaults(action='')
+    explaining.add_argument('--host', required=True)
+    explaining.add_argument(
+        '--path', required=True, type=argument_types.request_path
+    )
+    explaining.add_argument(
+        '--object',
+        metavar='KEY',
+        help='key of the object that the request states',
+    )
+    explaining.add_argument(
+        '--account',
+        metavar='NAME',
+        help='name of the account that holds the key of the request; give '
+        + 'no key',
+    )
+    explaining.add_argument(
+        '--json',
+        action='store_const',
+        dest='output',
+        const='json',
+        default=argparse.SUPPRESS,
+        help='as --output json',
+    )
+
+
 def _group(groups: Any, name: str, text: str) -> Any:
     parser = groups.add_parser(name, help=text, description=text)
     return parser.add_subparsers(dest='action', required=True)
--- a/libraries/ctl/plantainstand_ctl/_main.py
+++ b/libraries/ctl/plantainstand_ctl/_main.py
@@ -14,6 +14,7 @@
 from plantainstand_ctl import (
     _catalogue_commands,
     _drain_commands,
+    _explain_command,
     _log_commands,
     _loss_commands,
     _request_commands,
@@ -59,7 +60,7 @@
     """
     parser = build_parser()
     parsed = parser.parse_args(arguments)
-    name = f'{parsed.group} {parsed.action}'
+    name = f'{parsed.group} {parsed.action}'.rstrip()
     if name not in _OFFLINE_COMMANDS and not parsed.address:
         parser.error('--address is missing; give the address of any daemon')
     client = OperatorClient(parsed.address, pause)
@@ -134,6 +135,17 @@
     )
 
 
+def _explain(context: _CommandContext) -> CommandResult:
+    arguments = context.arguments
+    return _explain_command.explain_request(
+        context.client,
+        arguments.host,
+        arguments.path,
+        object_key=arguments.object,
+        account=arguments.account,
+    )
+
+
 def _request_command(
     command: Callable[[OperatorClient, RequestId], CommandResult],
 ) -> Callable[[_CommandContext], CommandResult]:
@@ -171,6 +183,7 @@
                 context.client
             ),
             'drain wait': _drain_wait,
+            'explain': _explain,
             'status vms': lambda context: _status_commands.show_vms(
                 context.client
             ),
--- a/libraries/desired/plantainstand_desired/_account_view.py
+++ b/libraries/desired/plantainstand_desired/_account_view.py
@@ -66,6 +66,15 @@
             self._match_by_key = self._index_keys()
         return self._match_by_key.get(digest)
 
+    def find_by_name(self, name: AccountName) -> AccountMatch | None:
+        """Return the account of a name; None also if it has no key."""
+        item = self._items.get(name)
+        if item is None or not isinstance(item.body, ClientAccount):
+            return None
+        if not item.body.key_digests:
+            return None
+        return AccountMatch(name, item.version, item.body)
+
     def update(self, changed: Iterable[Item]) -> None:
         """Take over the accounts among items that have changed."""
         accounts = {
--- a/libraries/edge/plantainstand_edge/_access.py
+++ b/libraries/edge/plantainstand_edge/_access.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
+from plantainstand_allotments import UNLIMITED_USE, UsePreview
 from plantainstand_core import Clock
 from plantainstand_desired import (
     AccountMatch,
@@ -55,6 +56,9 @@
     ) -> Result[timedelta, PermitDenial]:
         """Count a run and return the time at which it was counted."""
 
+    def preview(self, account: AccountName) -> UsePreview:
+        """Tell what a run would get now, without counting it."""
+
     def postpone(
         self, account: AccountName, counted_at: timedelta, sent_at: timedelta
     ) -> None:
@@ -77,6 +81,10 @@
         """See :meth:`RunPermits.acquire`."""
         return Ok(self._clock.monotonic())
 
+    def preview(self, _account: AccountName) -> UsePreview:
+        """See :meth:`RunPermits.preview`."""
+        return UNLIMITED_USE
+
     def postpone(
         self, account: AccountName, counted_at: timedelta, sent_at: timedelta
     ) -> None:
@@ -104,6 +112,11 @@
         """Whether the desired state has, or had, accounts."""
         return self._accounts.requires_keys
 
+    @property
+    def has_current_keys(self) -> bool:
+        """Whether it is confirmed that no known key has been withdrawn."""
+        return self._has_current_keys()
+
     def still_allows(self, active: ActiveRequest) -> bool:
         """Tell whether a request may leave now, for the account it has.
 
@@ -139,11 +152,27 @@
         self, match: RouteMatch, digest: KeyDigest | None
     ) -> Result[AccountMatch | None, AccessDenial]:
         """Return the account of a request; None if it needs no key."""
+        account = None if digest is None else self._accounts.find_by_key(digest)
+        return self.check_account(match, account)
+
+    def check_name(
+        self, match: RouteMatch, name: AccountName | None
+    ) -> Result[AccountMatch | None, AccessDenial]:
+        """Check a request with a key of a named account; None for no key."""
+        account = None if name is None else self._accounts.find_by_name(name)
+        return self.check_account(match, account)
+
+    def check_account(
+        self, match: RouteMatch, account: AccountMatch | None
+    ) -> Result[AccountMatch | None, AccessDenial]:
+        """Return the account that a request runs for; None for no account.
+
+        ``account`` holds the key of the request; None if no account does.
+        """
         if match.route.public or not self.requires_keys:
             return Ok(None)
         if not self._has_current_keys():
             return Err(AccessDenial.UNCONFIRMED_KEYS)
-        account = None if digest is None else self._accounts.find_by_key(digest)
         if account is None:
             return Err(AccessDenial.UNKNOWN_KEY)
         of_route = match.route.home_regions
--- a/libraries/edge/plantainstand_edge/_account_limits.py
+++ b/libraries/edge/plantainstand_edge/_account_limits.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 import structlog
-from plantainstand_allotments import AllotmentHolder, UseOutcome
+from plantainstand_allotments import (
+    UNLIMITED_USE,
+    AllotmentHolder,
+    UseOutcome,
+    UsePreview,
+)
 from plantainstand_core import Clock
 from plantainstand_desired import AccountName, AccountView
 from plantainstand_fleet import AccountAnswer, AccountQuestion
@@ -107,6 +112,12 @@
         # allotments yet, the account may be below its limit.
         return Err(PermitDenial(False, QUESTION_INTERVAL))
 
+    def preview(self, account: AccountName) -> UsePreview:
+        """See ``RunPermits.preview``."""
+        if not self._accounts.has_limit(account):
+            return UNLIMITED_USE
+        return self._holder.preview(account, self._clock.monotonic())
+
     def postpone(
         self, account: AccountName, counted_at: timedelta, sent_at: timedelta
     ) -> None:
--- a/libraries/edge/plantainstand_edge/_local_responses.py
+++ b/libraries/edge/plantainstand_edge/_local_responses.py
@@ -18,7 +18,7 @@
 NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
 """Retry-After of a VM that has no desired state yet."""
 
-_DENIAL_RESPONSES = MappingProxyType(
+DENIAL_RESPONSES = MappingProxyType(
     {
         AccessDenial.UNKNOWN_KEY: (HTTPStatus.UNAUTHORIZED, None),
         AccessDenial.UNCONFIRMED_KEYS: (
@@ -48,7 +48,7 @@
         self, metadata: RequestMetadata, match: RouteMatch, denial: AccessDenial
     ) -> Response:
         """Respond to a request that may not run for its key."""
-        status, retry_after = _DENIAL_RESPONSES[denial]
+        status, retry_after = DENIAL_RESPONSES[denial]
         _log.info(
             'request denied',
             request=metadata.log_id,
@@ -69,11 +69,7 @@
 
     def unmatched(self, metadata: RequestMetadata) -> Response:
         """Respond to a request that no route matches."""
-        status = HTTPStatus.NOT_FOUND
-        retry_after = None
-        if not self._desired_view.has_routes:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            retry_after = NOT_READY_RETRY_AFTER
+        status, retry_after = unmatched_response(self._desired_view)
         _log.info(
             'request without a route',
             request=metadata.log_id,
@@ -101,3 +97,12 @@
             request_id, retry_after
         )
         return Response(status, headers, reason.encode())
+
+
+def unmatched_response(
+    view: DesiredView,
+) -> tuple[HTTPStatus, timedelta | None]:
+    """Return status and Retry-After for a request that no route matches."""
+    if view.has_routes:
+        return HTTPStatus.NOT_FOUND, None
+    return HTTPStatus.SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER
--- a/libraries/edge/plantainstand_edge/_node.py
+++ b/libraries/edge/plantainstand_edge/_node.py
@@ -29,12 +29,14 @@
     ControlLinks,
     ControlPlaneState,
 )
+from plantainstand_edge._decisions import SteeringInputs
+from plantainstand_edge._explain_call import EXPLAIN_PATH, answer_explain
 from plantainstand_edge._fleet_view import FleetView
 from plantainstand_edge._header_codec import HeaderCodec
 from plantainstand_edge._probes import TargetProbes
 from plantainstand_edge._settings import EntrySettings
 from plantainstand_edge._shared_loads import SharedLoads
-from plantainstand_edge._steering import RequestSteering, SteeringInputs
+from plantainstand_edge._steering import RequestSteering
 from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
@@ -330,6 +332,8 @@
     async def _answer_status(self, request: Request) -> Response:
         if request.path.endswith(b'/metrics'):
             return Response(HTTPStatus.OK, (), self._render_metrics())
+        if request.path == EXPLAIN_PATH:
+            return answer_explain(request.query, self._steering.explain)
         if self.is_ready:
             return Response(HTTPStatus.OK)
         return Response(HTTPStatus.SERVICE_UNAVAILABLE)
--- a/libraries/edge/plantainstand_edge/_probes.py
+++ b/libraries/edge/plantainstand_edge/_probes.py
@@ -1,7 +1,7 @@
 """Asks targets whether they are cold, where the list does not tell."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -54,6 +54,14 @@
             self._running.add(task)
             task.add_done_callback(self._running.discard)
 
+    def may_help(
+        self, service: ServiceId, states: Sequence[TargetState]
+    ) -> bool:
+        """Tell whether a request waits for probes, of ``states`` or earlier."""
+        policy = self._desired_view.service_policy(service)
+        has_health_path = policy is not None and bool(policy.health_path)
+        return bool(self._running) or (bool(states) and has_health_path)
+
     async def wait(self, timeout: timedelta) -> bool:
         """Wait for one of the probes; return False if there is none."""
         if not self._running:
--- a/libraries/edge/plantainstand_edge/_steering.py
+++ b/libraries/edge/plantainstand_edge/_steering.py
@@ -1,45 +1,31 @@
 """Serves one request: matches a route, chooses targets, makes attempts."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from http import HTTPStatus
 
 import structlog
-from plantainstand_core import Clock, ServiceId
-from plantainstand_desired import DesiredView, RouteMatch
+from plantainstand_core import Clock
 from plantainstand_http import (
     FailureKind,
     Request,
     Response,
-    TargetConnectionPool,
 )
 from plantainstand_placement import (
     Choice,
-    ColdRequestShare,
     LongestDurations,
-    ObjectDemand,
-    PlacementCriteria,
     Refusal,
     RefusalReason,
-    RequestLimits,
-    RetryBudgetShare,
-    ReturningCallers,
-    RunTimes,
-    ServiceEstimates,
-    TargetTable,
-    TrafficSplitter,
     choose_target,
     cold_limit,
     ends_before_exit,
     targets_to_probe,
 )
-from plantainstand_telemetry import Metrics
 from result import Err
 
 from plantainstand_edge._access import (
     AccessDenial,
-    AccountChecks,
     PermitDenial,
 )
 from plantainstand_edge._active_request import ActiveRequest
@@ -48,30 +34,25 @@
     TargetAttempts,
     forward_response,
 )
-from plantainstand_edge._fleet_view import FleetView
-from plantainstand_edge._header_codec import HeaderCodec, RequestMetadata
+from plantainstand_edge._decisions import RequestDecisions, SteeringInputs
+from plantainstand_edge._explanation import (
+    STOPPING_RETRY_AFTER,
+    ExplainQuestion,
+    Explanation,
+    explain_request,
+)
+from plantainstand_edge._header_codec import HeaderCodec
 from plantainstand_edge._local_responses import LocalResponses
-from plantainstand_edge._probes import PROBE_TIMEOUT, TargetProbes
+from plantainstand_edge._probes import PROBE_TIMEOUT
 from plantainstand_edge._request_log import RequestLog
-from plantainstand_edge._service_times import ServiceTimes
 from plantainstand_edge._settings import EntrySettings
-from plantainstand_edge._target_limits import TargetLimits
 
 _log = structlog.get_logger()
 
-RESPONSE_MARGIN = timedelta(milliseconds=20)
-"""Time reserved for a response of this VM to reach the client in time."""
-
 MIN_ATTEMPT_TIME = timedelta(milliseconds=30)
 """Shortest time left with which an attempt is made; connecting and one round
 trip between regions take at least that."""
 
-DEFAULT_CLIENT_TIMEOUT = timedelta(seconds=30)
-"""Timeout assumed for a client that states none."""
-
-STOPPING_RETRY_AFTER = timedelta(milliseconds=20)
-"""Retry-After of a VM that is stopping: another VM can serve the request."""
-
 REJECTED_RETRY_AFTER = timedelta(milliseconds=20)
 """Retry-After when targets rejected a request while other targets of its object
 have capacity: short, since the latency objective may still be met."""
@@ -80,21 +61,6 @@
 """Failed connections after which no further attempt is made."""
 
 
-@dataclass(frozen=True)
-class SteeringInputs:
-    """State on which the decisions are based."""
-
-    desired_view: DesiredView
-    target_table: TargetTable
-    pool: TargetConnectionPool
-    retry_budget: RetryBudgetShare
-    fleet_view: FleetView
-    target_limits: TargetLimits
-    probes: TargetProbes
-    accounts: AccountChecks
-    metrics: Metrics
-
-
 class RequestSteering:
     """Serves the requests of clients."""
 
@@ -114,11 +80,7 @@
             header_codec, inputs.desired_view, inputs.metrics
         )
         self._accounts = inputs.accounts
-        self._splitter = TrafficSplitter()
-        self._service_times = ServiceTimes()
-        self._run_times = RunTimes()
-        self._object_demand: dict[ServiceId, ObjectDemand] = {}
-        self._returning_callers = ReturningCallers()
+        self._decisions = RequestDecisions(settings, inputs)
         self._longest_durations = LongestDurations()
         self._exit_at: timedelta | None = None
         self._notice_until: timedelta | None = None
@@ -127,7 +89,7 @@
             inputs.desired_view,
             inputs.target_table,
             inputs.fleet_view,
-            self._service_times,
+            self._decisions.service_times,
             inputs.metrics,
             clock,
         )
@@ -135,7 +97,9 @@
             inputs.pool,
             header_codec,
             Durations(
-                self._service_times, self._run_times, self._longest_durations
+                self._decisions.service_times,
+                self._decisions.run_times,
+                self._longest_durations,
             ),
             inputs.target_limits,
             self._accounts,
@@ -169,7 +133,10 @@
         checked = self._accounts.access.check(match, metadata.key_digest)
         if isinstance(checked, Err):
             return self._responses.denied(metadata, match, checked.err_value)
-        active = self._start(request, metadata, match)
+        active = self._decisions.start(request, metadata, match)
+        self._inputs.retry_budget.count_request(
+            active.service, request.received_at
+        )
         active.account = checked.ok_value
         time_limit = asyncio.timeout_at(self._exit_loop_time())
         self._time_limits.add(time_limit)
@@ -207,6 +174,15 @@
         metadata = self._header_codec.read_request_metadata(request)
         return '' if metadata is None else metadata.log_id
 
+    def explain(self, question: ExplainQuestion) -> Explanation:
+        """Tell where a request would go now, without sending it."""
+        return explain_request(
+            question,
+            self._decisions,
+            self._ends_before_exit,
+            self._clock.monotonic(),
+        )
+
     def _exit_loop_time(self) -> float | None:
         """Return the time on the event loop's clock at which the VM exits."""
         if self._exit_at is None:
@@ -214,31 +190,6 @@
         time_left = self._exit_at - self._clock.monotonic()
         return asyncio.get_running_loop().time() + time_left.total_seconds()
 
-    def _start(
-        self,
-        request: Request,
-        metadata: RequestMetadata,
-        match: RouteMatch,
-    ) -> ActiveRequest:
-        received = request.received_at
-        client_timeout = metadata.client_timeout or DEFAULT_CLIENT_TIMEOUT
-        timeout = min(client_timeout - RESPONSE_MARGIN, match.timeout)
-        objective = timedelta(seconds=match.route.objective_seconds)
-        service = self._splitter.pick(match)
-        self._inputs.retry_budget.count_request(service, received)
-        active = ActiveRequest(
-            request=request,
-            metadata=metadata,
-            match=match,
-            service=service,
-            deadline=received + timeout,
-            objective=received + objective,
-        )
-        if active.states_object:
-            demand = self._object_demand.setdefault(service, ObjectDemand())
-            active.demand = demand.count(active.object_key)
-        return active
-
     async def _serve(self, active: ActiveRequest) -> Response:
         while True:
             denial = self._accounts.access.renew(active)
@@ -297,31 +248,8 @@
     def _choose(self, active: ActiveRequest) -> Choice | Refusal:
         now = self._clock.monotonic()
         inputs = self._inputs
-        criteria = PlacementCriteria(
-            object_key=active.object_key,
-            region=self._settings.region,
-            home_regions=active.home_regions,
-            objective_left=active.objective - now,
-            time_left=active.deadline - now,
-            cold_share=_cold_share(active.service, self._settings, inputs),
-            request_limits=RequestLimits(
-                self._settings.region,
-                inputs.fleet_view.share,
-                inputs.target_limits.stated,
-            ),
-            demand=active.demand,
-            list_reading=inputs.target_table.reading(self._settings.list_lag),
-            evacuated_availability_zones=(
-                inputs.desired_view.evacuated_availability_zones()
-            ),
-            tried_targets=frozenset(active.tried_targets),
-        )
-        estimates = ServiceEstimates(
-            now,
-            self._run_times.estimates(active.match.name),
-            self._service_times.estimate(active.service),
-            self._returning_callers.count(active.service, now),
-        )
+        criteria = self._decisions.criteria(active, now)
+        estimates = self._decisions.estimates(active, now)
         targets = inputs.target_table.targets_of(active.service)
         unknown = targets_to_probe(criteria, targets, now)
         if unknown:
@@ -396,7 +324,9 @@
             reason = refusal.reason.value
             if refusal.reason is RefusalReason.LIMITED:
                 return_at = self._clock.monotonic() + retry_after
-                self._returning_callers.record(active.service, return_at)
+                self._decisions.returning_callers.record(
+                    active.service, return_at
+                )
         status = HTTPStatus.SERVICE_UNAVAILABLE
         self._request_log.record_request(active, status, reason)
         return self._responses.local(
@@ -426,11 +356,3 @@
         return self._responses.local(
             active.metadata, status, reason, denial.retry_after
         )
-
-
-def _cold_share(
-    service: ServiceId, settings: EntrySettings, inputs: SteeringInputs
-) -> ColdRequestShare:
-    policy = inputs.desired_view.service_policy(service)
-    rate = 0 if policy is None else policy.cold_requests_per_second
-    return settings.cold_target_limits.share(rate, inputs.fleet_view.share)
--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -4,10 +4,12 @@
 from plantainstand_placement._budget import RetryBudgetLimits, RetryBudgetShare
 from plantainstand_placement._choice import (
     Choice,
+    RatedTarget,
     Refusal,
     RefusalReason,
     ServiceEstimates,
     choose_target,
+    rate_targets,
 )
 from plantainstand_placement._cold import ColdRequestShare, ColdTargetLimits
 from plantainstand_placement._cold_knowledge import ListReading
@@ -48,6 +50,7 @@
     'LoadReport',
     'LongestDurations',
     'ObjectDemand',
+    'RatedTarget',
     'Refusal',
     'RequestLimits',
     'RefusalReason',
@@ -65,6 +68,7 @@
     'cold_limit',
     'ends_before_exit',
     'pause_target',
+    'rate_targets',
     'record_shared_load',
     'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_choice.py
+++ b/libraries/placement/plantainstand_placement/_choice.py
@@ -139,6 +139,20 @@
         return self.expected_wait + self.expected_run
 
 
+@dataclass(frozen=True, slots=True)
+class RatedTarget:
+    """One of the first targets of an object's order, as a decision sees it."""
+
+    option: Choice
+    """What sending the request there is expected to take."""
+
+    load: float
+    """Estimated number of requests at the target."""
+
+    is_candidate: bool
+    """Whether the request may go there now; ``option.rank`` holds then."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceEstimates:
     """Times that one VM has observed, as of now."""
@@ -207,6 +221,39 @@
     return chosen
 
 
+def rate_targets(
+    criteria: PlacementCriteria,
+    targets: ServiceTargets,
+    estimates: ServiceEstimates,
+) -> Sequence[RatedTarget]:
+    """Return the first targets of the order, and those that may be chosen.
+
+    They are rated as :func:`choose_target` does it.
+    """
+    known = _knowledge(criteria, targets, estimates)
+    limit = max(MAX_CANDIDATES, known.homes)
+    candidates = _candidates(criteria, targets, estimates, limit)
+    order = targets.order(
+        criteria.object_key,
+        criteria.region,
+        criteria.evacuated_availability_zones,
+    )
+    rated: list[RatedTarget] = []
+    for position, state in enumerate(order):
+        is_candidate = state in candidates
+        if position < limit or is_candidate:
+            # The rank of a target that is no candidate is behind all others.
+            rank = candidates.index(state) if is_candidate else len(order)
+            rated.append(
+                RatedTarget(
+                    _option(state, rank, criteria, known),
+                    known.load(state),
+                    is_candidate,
+                )
+            )
+    return rated
+
+
 def _max_wait(
     chosen: Choice, criteria: PlacementCriteria, estimates: ServiceEstimates
 ) -> timedelta:
--- a/libraries/placement/plantainstand_placement/_departure.py
+++ b/libraries/placement/plantainstand_placement/_departure.py
@@ -33,29 +33,30 @@
 
     def record(self, route: str, duration: timedelta, now: timedelta) -> None:
         """Add the time between sending a request and its last byte."""
-        self._rotate(now)
+        since = self._current_since
+        windows = self._windows(now)
+        self._current = windows[0]
+        self._previous = windows[1]
+        if since is None or now - since > DURATION_WINDOW:
+            self._current_since = now
         known = self._current.get(route, timedelta())
         self._current[route] = max(known, duration)
 
     def longest(self, route: str, now: timedelta) -> timedelta | None:
         """Return the longest recent duration; None if there was none."""
-        self._rotate(now)
-        known = [
-            window[route]
-            for window in (self._current, self._previous)
-            if route in window
-        ]
+        windows = self._windows(now)
+        known = [window[route] for window in windows if route in window]
         return max(known, default=None)
 
-    def _rotate(self, now: timedelta) -> None:
+    def _windows(
+        self, now: timedelta
+    ) -> tuple[dict[str, timedelta], dict[str, timedelta]]:
+        """Return the current and the previous window as of ``now``."""
         since = self._current_since
-        if since is None:
-            self._current_since = now
-        elif now - since > DURATION_WINDOW:
-            is_adjacent = now - since <= DURATION_WINDOW * 2
-            self._previous = self._current if is_adjacent else {}
-            self._current = {}
-            self._current_since = now
+        if since is None or now - since <= DURATION_WINDOW:
+            return self._current, self._previous
+        is_adjacent = now - since <= DURATION_WINDOW * 2
+        return {}, self._current if is_adjacent else {}
 
 
 def ends_before_exit(
--- a/libraries/placement/plantainstand_placement/_object_demand.py
+++ b/libraries/placement/plantainstand_placement/_object_demand.py
@@ -48,13 +48,17 @@
         self._turn += 1
         if self._total >= MAX_COUNTED_REQUESTS:
             self._halve()
-        return self._estimate(object_key)
-
-    def _estimate(self, object_key: bytes) -> DemandEstimate:
         count = self._counts.get(object_key, 0)
-        # The standard deviation of a count of random arrivals is its root.
-        certain = max(float(0), count - math.sqrt(count))
-        return DemandEstimate(certain / max(MIN_TOTAL, self._total), self._turn)
+        return DemandEstimate(_share(count, self._total), self._turn)
+
+    def preview(self, object_key: bytes) -> DemandEstimate:
+        """Return what :meth:`count` would return now, without counting."""
+        count = self._counts.get(object_key, 0) + 1
+        total = self._total + 1
+        if total >= MAX_COUNTED_REQUESTS:
+            total /= 2
+            count = count / 2 if count / 2 >= MIN_COUNT else 0
+        return DemandEstimate(_share(count, total), self._turn + 1)
 
     def _halve(self) -> None:
         self._total /= 2
@@ -63,3 +67,9 @@
             for object_key, count in self._counts.items()
             if count / 2 >= MIN_COUNT
         }
+
+
+def _share(count: float, total: float) -> float:
+    # The standard deviation of a count of random arrivals is its root.
+    certain = max(float(0), count - math.sqrt(count))
+    return certain / max(MIN_TOTAL, total)
--- a/libraries/placement/plantainstand_placement/_other_load.py
+++ b/libraries/placement/plantainstand_placement/_other_load.py
@@ -57,6 +57,10 @@
         half_lives = (now - self._read_at) / LOAD_REPORT_HALF_LIFE
         return math.pow(0.5, half_lives)
 
+    def age(self, now: timedelta) -> timedelta | None:
+        """Return the age of the newest statement; None without one."""
+        return now - self._read_at if self._is_known else None
+
     def at(self, now: timedelta, usual: float = 0) -> float:
         """Return the estimated number of requests of other VMs.
 
--- a/tests/allotments/test_holder.py
+++ b/tests/allotments/test_holder.py
@@ -3,7 +3,8 @@
 import unittest
 from datetime import timedelta
 
-from plantainstand_allotments import UseOutcome
+from plantainstand_allotments import UseOutcome, UsePreview
+from plantainstand_desired import AccountName
 from plantainstand_fleet import AccountAnswer, Allotment
 
 from tests.allotments.builders import ACCOUNT, VMS, Exchange, at
@@ -38,6 +39,26 @@
         use = self.vm.ask(5).uses[0]
         self.assertEqual((use.allotment, use.committed), (0, 1))
 
+    def test_preview(self) -> None:
+        """Guards against previews that count, or differ from the next use."""
+        holder = self.holder
+        unleased = holder.preview(ACCOUNT, at(0))
+        self.assertIs(unleased.outcome, UseOutcome.NOT_LEASED)
+        holder.apply(_answer(self.vm.ask(0).number, 2), at(0))
+        for left in (2, 1):
+            previews = {holder.preview(ACCOUNT, at(1)) for _ in range(3)}
+            self.assertEqual(previews, {UsePreview(UseOutcome.GRANTED, left)})
+            self.assertIs(holder.try_use(ACCOUNT, at(1)), UseOutcome.GRANTED)
+        demand = self.vm.ask(1).uses[0].demand
+        for _ in range(3):
+            exhausted = holder.preview(ACCOUNT, at(1))
+        self.assertEqual(self.vm.ask(1).uses[0].demand, demand)
+        self.assertIs(exhausted.outcome, UseOutcome.EXHAUSTED)
+        promised = holder.retry_after(ACCOUNT, at(1))
+        self.assertEqual(exhausted.retry_after, promised)
+        unknown = holder.preview(AccountName('unknown'), at(1))
+        self.assertIs(unknown.outcome, UseOutcome.WANTED)
+
     def test_answers_that_are_ignored(self) -> None:
         """Old answers would bring back what was given to other VMs."""
         numbers = [self.vm.ask(when).number for when in (0, 0.1, 0.2, 0.3)]
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -48,6 +48,8 @@
     def reply(self, method: str, path: str, body: bytes) -> Reply | None:
         """Return status and body; None to close the connection."""
         url = urlsplit(path)
+        if url.path == '/explain':
+            return _explain(parse_qs(url.query))
         if '/v1/requests/' in url.path:
             status = int(url.path.rpartition('/')[2])
             return status, ctl.ErrorBody('reason')
@@ -101,6 +103,19 @@
         return 200, 'not the expected body'
 
 
+def _explain(query: Mapping[str, Sequence[str]]) -> Reply:
+    route = {'name': query['host'][0], 'version': 3}
+    if 'account' in query:
+        decision = {'outcome': 'reject', 'reason': 'unknown key', 'status': 401}
+        denied = {'denial': 'unknown key', 'requires_keys': True}
+        return 200, {'decision': decision, 'route': route, **denied}
+    if 'object' not in query:
+        decision = {'outcome': 'reject', 'reason': 'no route', 'status': 404}
+        return 200, {'decision': decision}
+    decision = {'outcome': 'send', 'reason': 'warm', 'target': 'catalogue-1'}
+    return 200, {'decision': decision, 'route': route, 'rank': 0}
+
+
 def _drain(subject: catalogue.DrainSubject, put: Revision) -> ctl.DrainItem:
     kind = catalogue.DrainSubjectKind(subject.kind)
     return ctl.DrainItem(kind, subject.name, put)
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -77,6 +77,9 @@
 status vms | - | 0 | vm-3  bajio-a  live, not heard  index unknown
 status changes | - | 9 | pending at: vm-2
 status changes 5 | - | 9 | revision 5
+explain --host h --path /p/ | - | 0 | decision: reject with 404: no route
+explain --host h --path /p/ --object k | - | 0 | send to catalogue-1: warm
+explain --host h --path /p/ --account a | - | 0 | account denied: unknown key
 request show 201 | - | 0 | 201: answered, 20 bytes with status 201
 request show 503 | - | 0 | 503: not-run, reason
 request show 504 | - | 0 | 504: unknown, reason
@@ -109,6 +112,8 @@
     'catalogue get zone/bajio-a --address x:1',
     'drain announce vm/a?b --address x:1',
     'status changes -1 --address x:1',
+    'explain --host h --address x:1',
+    'explain --host h --path p --address x:1',
     'catalogue remove region/a --expected-revision x --address x:1',
 )
 
--- a/tests/edge/simulated_fleet.py
+++ b/tests/edge/simulated_fleet.py
@@ -349,7 +349,9 @@
         )
         match = node._desired_view.match(metadata.host, metadata.path)
         assert match is not None
-        choice = steering._choose(steering._start(request, metadata, match))
+        choice = steering._choose(
+            steering._decisions.start(request, metadata, match)
+        )
         if not isinstance(choice, Choice):
             return
         state = choice.state
--- a/tests/edge/test_access.py
+++ b/tests/edge/test_access.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import structlog
+from plantainstand_allotments import UNLIMITED_USE, UsePreview
 from plantainstand_core import Clock, ManualClock, ServiceId
 from plantainstand_desired import AccountName, Item, digest_key
 from plantainstand_edge._access import PermitDenial
@@ -319,6 +320,10 @@
         self.held.append(self.clock.monotonic())
         return Ok(self.held[-1])
 
+    def preview(self, _account: AccountName) -> UsePreview:
+        """See ``RunPermits.preview``."""
+        return UNLIMITED_USE
+
     def postpone(
         self, _account: AccountName, counted_at: timedelta, sent_at: timedelta
     ) -> None:
--- a/tests/edge/test_node.py
+++ b/tests/edge/test_node.py
@@ -1,8 +1,10 @@
 """Guards the readiness and the planned stop of a whole entry VM."""
 
 import asyncio
+import io
+import json
 import unittest
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, redirect_stderr, redirect_stdout
 from dataclasses import replace
 from datetime import timedelta
 from unittest.mock import patch
@@ -10,6 +12,7 @@
 import msgspec
 import urllib3
 from plantainstand_core import SystemClock, VmId
+from plantainstand_ctl import ExitCode, run_command
 from plantainstand_edge import EntryNode, EntrySettings
 from plantainstand_edge._control_links import REPORT_INTERVAL
 from plantainstand_fleet import (
@@ -104,6 +107,24 @@
             while not any(report.ready for report in self.reports):
                 await asyncio.sleep(0.01)
 
+    async def test_explain(self) -> None:
+        """Guards against output that differs from what the node answers."""
+        code, text = await asyncio.to_thread(_explain, '/orders/1')
+        self.assertEqual(code, ExitCode.DONE, text)
+        self.assertIn('decision: send to t1: first target', text)
+        code, text = await asyncio.to_thread(_explain, '/none/', '--json')
+        self.assertEqual(code, ExitCode.DONE, text)
+        found = json.loads(text)
+        self.assertIsNone(found['route'])
+        self.assertEqual(found['decision']['status'], 404)
+        self.assertFalse(self.target.received.is_set())
+
+    async def test_explain_without_host(self) -> None:
+        """Guards against an answer to a question that is not complete."""
+        code, text = await asyncio.to_thread(_explain, '/orders/1', host='')
+        self.assertEqual(code, ExitCode.INVALID, text)
+        self.assertIn('host', text)
+
     async def test_stop_answers_in_flight_requests(self) -> None:
         """A planned stop must not abort a request that runs at a target."""
         asking = asyncio.create_task(asyncio.to_thread(_ask))
@@ -152,6 +173,21 @@
     """Do nothing with an event."""
 
 
+def _explain(
+    path: str, *options: str, host: str = 'shop.example'
+) -> tuple[int, str]:
+    address = f'{_HOST}:{_settings().metrics_port}'
+    line = ['explain', '--address', address, '--host', host, '--path', path]
+    output = io.StringIO()
+    with redirect_stdout(output), redirect_stderr(output):
+        code = run_command(
+            [*line, '--object', 'a&b', *options],
+            lambda _wait: None,
+            lambda: None,
+        )
+    return code, output.getvalue()
+
+
 def _ask() -> urllib3.BaseHTTPResponse:
     return urllib3.request(
         'POST',
--- a/tests/placement/test_object_demand.py
+++ b/tests/placement/test_object_demand.py
@@ -36,6 +36,14 @@
 class ObjectDemandTests(unittest.TestCase):
     """Objects in demand must not overload one target."""
 
+    def test_preview(self) -> None:
+        """Guards against previews that count or differ, also at a halving."""
+        demand = ObjectDemand()
+        for number in range(MAX_COUNTED_REQUESTS * 3):
+            object_key = str(number % 300).encode()
+            previews = {demand.preview(object_key) for _ in range(2)}
+            self.assertEqual(previews, {demand.count(object_key)})
+
     def test_counts_are_bounded(self) -> None:
         """Many objects must not fill the memory of a VM."""
         demand = ObjectDemand()
--- a/tests/placement/test_split.py
+++ b/tests/placement/test_split.py
@@ -39,6 +39,14 @@
                         delta=1,
                     )
 
+    def test_preview(self) -> None:
+        """Guards against previews that move the split or name another part."""
+        splitter = TrafficSplitter()
+        match = _match(1, 5, 2, 1)
+        for _ in range(20):
+            previews = {splitter.preview(match) for _ in range(3)}
+            self.assertEqual(previews, {splitter.pick(match)})
+
     def test_new_version_resets_credits(self) -> None:
         """Credits under old weights do not skew the new ones."""
         splitter = TrafficSplitter()
