--- a/libraries/placement/plantainstand_placement/__init__.py
+++ b/libraries/placement/plantainstand_placement/__init__.py
@@ -5,10 +5,12 @@
 from plantainstand_placement._budget import RetryBudgetLimits, RetryBudgetShare
 from plantainstand_placement._choice import (
     Choice,
+    RatedTarget,
     Refusal,
     RefusalReason,
     ServiceEstimates,
     choose_target,
+    rate_targets,
 )
 from plantainstand_placement._cold import ColdRequestShare, ColdTargetLimits
 from plantainstand_placement._cold_knowledge import ListReading
@@ -51,6 +53,7 @@
     'LongestDurations',
     'ObjectDemand',
     'RankCounts',
+    'RatedTarget',
     'Refusal',
     'RequestLimits',
     'RefusalReason',
@@ -68,6 +71,7 @@
     'cold_limit',
     'ends_before_exit',
     'pause_target',
+    'rate_targets',
     'record_shared_load',
     'targets_to_probe',
 )
--- a/libraries/placement/plantainstand_placement/_admission.py
+++ b/libraries/placement/plantainstand_placement/_admission.py
@@ -53,7 +53,11 @@
         self._total += 1
         if self._total >= MAX_COUNTED_REQUESTS:
             self._halve()
-        if len(self._counts) == 1:
+        return self.preview(rank, draw)
+
+    def preview(self, rank: int, draw: float) -> Admission | None:
+        """Return how a request of a rank is admitted, without counting it."""
+        if not self._counts.keys() - {rank}:
             return None
         more_urgent = sum(
             count for other, count in self._counts.items() if other < rank
