Admission by rank: only for requests of client accounts

Cause: on an earlier deployment whose routes differ in rank, less urgent requests were rejected earlier without a gain for the urgent ones. Change: requests without an account are neither counted nor ranked.

--- a/libraries/edge/plantainstand_edge/_decisions.py
+++ b/libraries/edge/plantainstand_edge/_decisions.py
@@ -88,12 +88,20 @@
         return _activate(request, metadata, match, service, demand.preview)
 
     def count_rank(self, active: ActiveRequest) -> None:
-        """Count a request whose account is known, and decide its admission."""
+        """Count a request of an account, and decide its admission.
+
+        Requests without an account are admitted alike: without accounts that
+        compete, rejecting less urgent routes earlier only lost requests.
+        """
+        if active.account is None:
+            return
         ranks = self._rank_counts.setdefault(active.service, RankCounts())
         active.admission = ranks.count(active.rank, active.draw)
 
     def preview_rank(self, active: ActiveRequest) -> None:
         """Decide the admission of a request without counting it."""
+        if active.account is None:
+            return
         ranks = self._rank_counts.get(active.service, RankCounts())
         active.admission = ranks.preview(active.rank, active.draw)
 
