Client budget: the page size of the machine

Cause: resident memory was read in pages of 4 KiB; arm64 kernels may use 16 or 64 KiB. Change: the size is asked for.

--- a/libraries/http/plantainstand_http/_budget.py
+++ b/libraries/http/plantainstand_http/_budget.py
@@ -1,5 +1,6 @@
 """One budget of memory and connections for all clients of a process."""
 
+import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -73,7 +74,7 @@
 """Log lines about connections that were cut off, in one second."""
 
 _STATM = Path('/proc/self/statm')
-_PAGE_BYTES = 4096
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 _SECOND = timedelta(seconds=1)
 _MIN_CONNECTIONS = 16
 
