--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -313,6 +313,7 @@
         self.zone = zone
         self.folder = folder
         self.process: subprocess.Popen[bytes] | None = None
+        self.tolerated_machines = 1
         self.limits = dict(FRONT_LIMITS if role == 'entry' else CORE_LIMITS)
         self._log: IO[bytes] | None = None
 
@@ -369,7 +370,11 @@
             'heartbeatS': 1.5,
             'contracts': ['base', 'drain', 'config', 'cost', 'retry']
             + ['recover', 'places'],
-            'faultTolerance': {'machines': 1, 'zones': 1, 'regions': 1},
+            'faultTolerance': {
+                'machines': self.tolerated_machines,
+                'zones': 1,
+                'regions': 1,
+            },
             'bounds': BOUNDS,
             'configMode': 'parts',
             'cloudApi': {
@@ -471,6 +476,12 @@
 
     async def start(self, patch: dict[str, object]) -> None:
         """Start all, set the desired state, wait until entries are ready."""
+        await self.start_processes()
+        await self.change(patch)
+        await self._wait_until_ready()
+
+    async def start_processes(self) -> None:
+        """Start all for the first time, without a desired state."""
         if not (ROOT / 'target' / 'deps').is_dir():
             raise NotRunError('the build of the deploy file is missing')
         try:
@@ -485,13 +496,28 @@
         for machine in self.machines:
             machine.write_settings(seeds, self._list_address, bootstrap=True)
             machine.start()
-        await self.change(patch)
-        await self._wait_until_ready()
+
+    def add_control(self, zone: str, seeds: Sequence[str]) -> Machine:
+        """Start another control machine, with an empty disk."""
+        number = len(self.controls)
+        machine = self._machine(f'core-{number}', 'control', number + 10, zone)
+        machine.tolerated_machines = self.controls[0].tolerated_machines
+        machine.write_settings(seeds, self._list_address, bootstrap=False)
+        machine.start()
+        self.controls.append(machine)
+        return machine
 
     async def change(self, patch: dict[str, object]) -> None:
-        """Send a change like the operator does, until it is acknowledged."""
+        """Send a change until it is acknowledged."""
+        if not await self.try_change(patch, 20):
+            raise NotRunError('no control machine acknowledged the change')
+
+    async def try_change(
+        self, patch: dict[str, object], seconds: float
+    ) -> bool:
+        """Send a change like the operator does; tell whether it has an ack."""
         body = json.dumps(patch).encode()
-        deadline = time.monotonic() + 20
+        deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
             for control in self.controls:
                 status = await self._order(control.address, body)
@@ -499,11 +525,11 @@
                     f'operator sends a change to {control.name}: {status}'
                 )
                 if status == 200:
-                    return
+                    return True
                 if status in {400, 409, 413, 422}:
                     raise NotRunError(f'the change was refused: {status}')
             await asyncio.sleep(0.3)
-        raise NotRunError('no control machine acknowledged the change')
+        return False
 
     async def _order(self, address: str, body: bytes) -> int:
         for _ in range(3):
