--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -422,6 +422,10 @@
             self._log.close()
             self._log = None
 
+    def lose_disk(self) -> None:
+        """Remove what the program has stored; it must not run."""
+        shutil.rmtree(self.folder / 'data', ignore_errors=True)
+
     def last_output(self) -> str:
         """Return the end of what the program has written."""
         text = (self.folder / 'output.txt').read_bytes()[-2000:]
@@ -497,6 +501,12 @@
             machine.write_settings(seeds, self._list_address, bootstrap=True)
             machine.start()
 
+    def restart_empty(self, machine: Machine) -> None:
+        """Start a machine again that has lost its disk."""
+        seeds = [each.address for each in self.controls[:3]]
+        machine.write_settings(seeds, self._list_address, bootstrap=False)
+        machine.start()
+
     def add_control(self, zone: str, seeds: Sequence[str]) -> Machine:
         """Start another control machine, with an empty disk."""
         number = len(self.controls)
@@ -531,24 +541,45 @@
             await asyncio.sleep(0.3)
         return False
 
+    async def read_state(self, seconds: float) -> dict[str, object] | None:
+        """Read the desired state back, from any control machine."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            for control in self.controls:
+                answer = await self._call_operator(
+                    control.address, 'GET', '/config/get'
+                )
+                status = None if answer is None else answer.status
+                self.record.write(
+                    f'operator reads the state from {control.name}: {status}'
+                )
+                if answer is not None and status == 200:
+                    document: dict[str, object] = json.loads(answer.body)
+                    return document
+            await asyncio.sleep(0.5)
+        return None
+
     async def _order(self, address: str, body: bytes) -> int:
+        answer = await self._call_operator(
+            address, 'POST', '/config/patch', body
+        )
+        return 0 if answer is None else answer.status
+
+    async def _call_operator(
+        self, address: str, method: str, path: str, body: bytes = b''
+    ) -> Message | None:
+        """Call a control machine, and follow two redirects."""
+        answer = None
         for _ in range(3):
+            headers = {'Host': address, 'Content-Type': 'application/json'}
             answer = await call(
-                address,
-                CONTROL_PORT,
-                'POST',
-                '/config/patch',
-                {'Host': address, 'Content-Type': 'application/json'},
-                body,
-                seconds=1.0,
+                address, CONTROL_PORT, method, path, headers, body, seconds=1.0
             )
-            if answer is None:
-                return 0
-            if answer.status != 307:
-                return answer.status
+            if answer is None or answer.status != 307:
+                return answer
             location = answer.headers['location']
             address = location.removeprefix('http://').partition(':')[0]
-        return 307
+        return answer
 
     async def _answer_list(self, _request: Message) -> bytes:
         entries = [json.dumps(each.entry()) for each in self.listed]
